--- a/src/main/java/cobaltsill/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -1,4 +1,4 @@
-package cobaltsill;
+package pewtercourse;
 
 import java.io.IOException;
 
@@ -8,16 +8,16 @@
 
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar cobaltsill.jar benchlink");
+            System.err.println("usage: java -jar pewtercourse.jar benchlink");
             System.exit(2);
         }
         try {
             new BenchLink(System.in, System.out).run();
         } catch (BenchLink.MalformedException e) {
-            System.err.println("cobaltsill: " + e.getMessage());
+            System.err.println("pewtercourse: " + e.getMessage());
             System.exit(1);
         } catch (IOException e) {
-            System.err.println("cobaltsill: cannot read or write the wire: " + e.getMessage());
+            System.err.println("pewtercourse: cannot read or write the wire: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/cobaltsill/Router.java
+++ b/src/main/java/pewtercourse/Router.java
@@ -1,4 +1,4 @@
-package cobaltsill;
+package pewtercourse;
 
 import java.util.List;
 
--- a/src/test/java/cobaltsill/Bench.java
+++ b/src/test/java/pewtercourse/Bench.java
@@ -1,15 +1,15 @@
-package cobaltsill;
+package pewtercourse;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cobaltsill.Router.Action;
-import cobaltsill.Router.Ending;
-import cobaltsill.Router.Event;
-import cobaltsill.Router.Member;
-import cobaltsill.Router.Note;
-import cobaltsill.Router.Role;
-import cobaltsill.Router.Send;
-import cobaltsill.Router.State;
+import pewtercourse.Router.Action;
+import pewtercourse.Router.Ending;
+import pewtercourse.Router.Event;
+import pewtercourse.Router.Member;
+import pewtercourse.Router.Note;
+import pewtercourse.Router.Role;
+import pewtercourse.Router.Send;
+import pewtercourse.Router.State;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/cobaltsill/BenchLinkTest.java
+++ b/src/test/java/pewtercourse/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package cobaltsill;
+package pewtercourse;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/cobaltsill/LogicTest.java
+++ b/src/test/java/pewtercourse/LogicTest.java
@@ -1,23 +1,23 @@
-package cobaltsill;
-
-import static cobaltsill.Bench.MS;
-import static cobaltsill.Bench.START;
-import static cobaltsill.Bench.all;
-import static cobaltsill.Bench.as;
-import static cobaltsill.Bench.cache;
-import static cobaltsill.Bench.parent;
-import static cobaltsill.Bench.send;
+package pewtercourse;
+
+import static pewtercourse.Bench.MS;
+import static pewtercourse.Bench.START;
+import static pewtercourse.Bench.all;
+import static pewtercourse.Bench.as;
+import static pewtercourse.Bench.cache;
+import static pewtercourse.Bench.parent;
+import static pewtercourse.Bench.send;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cobaltsill.Router.Action;
-import cobaltsill.Router.Ending;
-import cobaltsill.Router.Member;
-import cobaltsill.Router.Note;
-import cobaltsill.Router.Send;
-import cobaltsill.Router.State;
+import pewtercourse.Router.Action;
+import pewtercourse.Router.Ending;
+import pewtercourse.Router.Member;
+import pewtercourse.Router.Note;
+import pewtercourse.Router.Send;
+import pewtercourse.Router.State;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -840,7 +840,7 @@
 
     @Test
     void theModuleStaysShortAndNamesItsInterface() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/cobaltsill/Logic.java"), StandardCharsets.UTF_8);
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/pewtercourse/Logic.java"), StandardCharsets.UTF_8);
         int filled = 0;
         for (String l : lines) {
             assertTrue(l.length() <= 110, l);
