--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -1,16 +1,41 @@
 package pewtercourse;
 
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import pewtercourse.bench.BenchLink;
+import pewtercourse.config.ConfigException;
+import pewtercourse.config.DirectorConfig;
+import pewtercourse.director.Director;
+import pewtercourse.front.fastcgi.FastCgiServer;
 
-/** Command line: {@code benchlink} speaks the simulator's wire on standard input and output. */
+/**
+ * Command line: {@code serve} is a real director, {@code benchlink} speaks the simulator's wire on standard
+ * input and output.
+ */
 public final class Main {
+    // After SIGTERM connections still come for 0.4 s, and requests on open ones for 0.2 s more.
+    // Closing the listener would close its connections too, so it stays up until the end.
+    private static final long ACCEPT_MS = 400, READ_MS = 200, SPARE_MS = 150, POLL_MS = 10, END_MOST_MS = 6_000;
+
     private Main() { }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar pewtercourse.jar benchlink");
-            System.exit(2);
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "serve" -> serve();
+            case "benchlink" -> benchlink();
+            default -> {
+                System.err.println("usage: java -jar pewtercourse.jar serve|benchlink");
+                System.exit(2);
+            }
         }
+    }
+
+    private static void benchlink() {
         try {
             new BenchLink(System.in, System.out).run();
         } catch (BenchLink.MalformedException e) {
@@ -21,4 +46,55 @@
             System.exit(1);
         }
     }
+
+    private static void serve() {
+        DirectorConfig config;
+        try {
+            config = DirectorConfig.fromEnvironment(System.getenv());
+        } catch (ConfigException e) {
+            Log.warn("config.unusable", "key", e.getMessage());
+            System.exit(2);
+            return;
+        }
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1).setPreferNativeTransport(false)
+                .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false)
+                        .setClassPathResolvingEnabled(false)));
+        vertx.exceptionHandler(e -> Log.error("loop.unexpected", e));
+        vertx.getOrCreateContext().runOnContext(v -> start(vertx, config));
+    }
+
+    private static void start(Vertx vertx, DirectorConfig config) {
+        Director director = new Director(vertx, config);
+        director.start();
+        FastCgiServer server = new FastCgiServer(vertx, director, director.clock());
+        server.listen(config.listen()).onComplete(done -> {
+            if (done.failed()) {
+                Log.warn("front.not_listening", "listen", config.listen(), "error", done.cause());
+                System.exit(1);
+            }
+            Log.info("director.listening", "name", config.name(), "listen", config.listen());
+        });
+        Thread hook = new Thread(() -> drain(vertx, director), "drain");
+        Runtime.getRuntime().addShutdownHook(hook);
+    }
+
+    /** Runs on SIGTERM, in a thread of its own: all that was taken is answered, then the program exits with 0. */
+    private static void drain(Vertx vertx, Director director) {
+        Log.info("director.stopping", "open", director.open());
+        CountDownLatch idle = new CountDownLatch(1);
+        vertx.setTimer(ACCEPT_MS + READ_MS + SPARE_MS, a -> vertx.setPeriodic(POLL_MS, b -> {
+            if (director.open() == 0) {
+                // One more turn, so that the last answers are on their way.
+                vertx.setTimer(POLL_MS, c -> idle.countDown());
+            }
+        }));
+        try {
+            idle.await(END_MOST_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Log.info("director.stopped", "open", director.open());
+        Runtime.getRuntime().halt(0);
+    }
 }
--- a/src/main/java/pewtercourse/BenchLink.java
+++ b/src/main/java/pewtercourse/bench/BenchLink.java
@@ -1,4 +1,4 @@
-package pewtercourse;
+package pewtercourse.bench;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -11,11 +11,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import pewtercourse.config.ConfigException;
+import pewtercourse.config.SiteSettings;
+import pewtercourse.decision.Logic;
+import pewtercourse.decision.Router;
 
 /** The wire of the bench: reads batches of events, hands them to the routers, writes their actions. */
-final class BenchLink {
+public final class BenchLink {
     /** A line that is not of the wire; the message names the line and the field. */
-    static final class MalformedException extends RuntimeException {
+    public static final class MalformedException extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         MalformedException(String message) {
@@ -28,10 +32,7 @@
     /** One router and what its wire names stand for. */
     private static final class Seat {
         Router router;
-        Map<String, Integer> classes;
-        Map<String, Integer> zones;
-        String parentKind;
-        String originKind;
+        SiteSettings site;
         List<Router.Event> events = new ArrayList<>();
     }
 
@@ -47,12 +48,12 @@
     private long lineNumber;
     private String[] fields;
 
-    BenchLink(InputStream in, OutputStream out) {
+    public BenchLink(InputStream in, OutputStream out) {
         this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
         this.out = out;
     }
 
-    void run() throws IOException {
+    public void run() throws IOException {
         long now = 0;
         boolean open = false;
         while (nextLine()) {
@@ -146,7 +147,7 @@
             }
             case "NEW_REQUEST" -> {
                 Seat seat = seat();
-                Integer cls = seat.classes.get(text(3, "Profile"));
+                Integer cls = seat.site.classes().get(text(3, "Profile"));
                 if (cls == null) {
                     throw malformed("field Profile: '" + shown(fields[3]) + "' is not in the settings");
                 }
@@ -204,10 +205,7 @@
     }
 
     private static Router.Member member(Seat seat, Row r) {
-        Router.Role role = r.kind.equals(seat.parentKind) ? Router.Role.PARENT
-                : r.kind.equals(seat.originKind) ? Router.Role.ORIGIN : Router.Role.CACHE;
-        int zone = seat.zones.getOrDefault(r.zone, -1);
-        return new Router.Member(r.id, zone, role, r.cell, r.state, r.weight, r.since);
+        return seat.site.member(r.id, r.zone, r.kind, r.cell, r.state, r.weight, r.since);
     }
 
     private void start() {
@@ -222,109 +220,17 @@
             info.put(fields[f].substring(0, eq), fields[f].substring(eq + 1));
         }
         Seat seat = new Seat();
-        seat.zones = places(info.getOrDefault("Zones", ""));
-        seat.classes = new HashMap<>();
-        String[] kinds = info.getOrDefault("Skus", "").split(",");
-        seat.parentKind = kind(kinds, (int) number(info, "Domain.MidKind", -1));
-        seat.originKind = kind(kinds, (int) number(info, "Domain.MasterKind", -1));
-        int n = (int) number(info, "Classes.count", 0);
-        Router.RequestClass[] classes = new Router.RequestClass[n];
-        for (int c = 0; c < n; c++) {
-            String p = "Classes." + c + ".";
-            seat.classes.put(info.getOrDefault(p + "Name", ""), c);
-            Router.Effect effect = switch (info.getOrDefault(p + "Effect", "pure")) {
-                case "token" -> Router.Effect.TOKEN;
-                case "side_effect" -> Router.Effect.SIDE_EFFECT;
-                default -> Router.Effect.PURE;
-            };
-            Router.Group group = switch (info.getOrDefault(p + "Group", "all")) {
-                case "zone" -> Router.Group.ZONE;
-                case "cell" -> Router.Group.CELL;
-                default -> Router.Group.ALL;
-            };
-            classes[c] = new Router.RequestClass(effect, group, span(info, p + "MemorySpan"),
-                    span(info, p + "Aim"), number(info, p + "AimStretch", 0), span(info, p + "Deadline"),
-                    flag(info, p + "Stream"), micros(item(info, "Domain.GoodFor", c)),
-                    truth(info, "Domain.InParts", c),
-                    truth(info, "Domain.GoesThrough", c));
-        }
-        String[] seatTexts = info.getOrDefault("Domain.SeatsByZone", "").split(",");
-        int[] seatCounts = new int[seatTexts.length];
-        for (int z = 0; z < seatCounts.length; z++) {
-            seatCounts[z] = (int) item(info, "Domain.SeatsByZone", z);
+        try {
+            seat.site = SiteSettings.read(info);
+        } catch (ConfigException e) {
+            throw malformed("field " + e.getMessage());
         }
-        Router.Siblings siblings = switch (info.getOrDefault("Domain.Siblings", "silent")) {
-            case "location" -> Router.Siblings.OWN_ZONE;
-            case "any" -> Router.Siblings.ANY;
-            default -> Router.Siblings.NONE;
-        };
-        Router.Notes notes = switch (info.getOrDefault("Domain.Says", "silent")) {
-            case "all" -> Router.Notes.ALL;
-            case "hit" -> Router.Notes.HITS;
-            default -> Router.Notes.NONE;
-        };
-        String weights = info.getOrDefault("Weights", "silent");
-        Router.Settings s = new Router.Settings((int) number(info, "Me", 0),
-                (int) number(info, "Instances", 1),
-                seat.zones.getOrDefault(info.getOrDefault("Zone", ""), -1),
-                seatCounts, classes, number(info, "Domain.ClientKbPerS", 0), flag(info, "Domain.CanJoin"),
-                flag(info, "Domain.MayPassBy"), flag(info, "Permissions.MayTell"),
-                flag(info, "Permissions.ParallelTries"), flag(info, "Permissions.Cancel"),
-                flag(info, "Permissions.RetryAfter"), span(info, "Permissions.MaxRetryAfter"),
-                (int) number(info, "Permissions.TryLimit", 1),
-                !info.getOrDefault("Discovery", "push").equals("ask"),
-                weights.equals("nominal") || weights.equals("rough"), siblings, notes,
-                new Router.ColdRule(number(info, "Rules.ColdFrom", 1), span(info, "Rules.WarmUp"),
-                        number(info, "Rules.FallMultiple", 1)),
-                new Router.ColdRule(number(info, "Domain.ParentColdFrom", 1),
-                        span(info, "Domain.ParentWarmsIn"), number(info, "Domain.ParentLimitFactor", 1)),
-                span(info, "Rules.TipAfter"), span(info, "Domain.PurgeTakes"));
-        seat.router = new Logic(s, seed);
+        seat.router = new Logic(seat.site.router(), seed);
         seats.put(i, seat);
         touched.remove(i);
         touched.put(i, seat);
     }
 
-    private static Map<String, Integer> places(String names) {
-        Map<String, Integer> m = new HashMap<>();
-        String[] parts = names.split(",");
-        for (int i = 0; i < parts.length; i++) {
-            m.put(parts[i], i);
-        }
-        return m;
-    }
-
-    private static String kind(String[] kinds, int place) {
-        return place >= 0 && place < kinds.length ? kinds[place] : null;
-    }
-
-    private double number(Map<String, String> info, String path, double otherwise) {
-        String v = info.get(path);
-        return v == null || v.isEmpty() || v.equals("-") ? otherwise : parse(v, path);
-    }
-
-    private long span(Map<String, String> info, String path) {
-        return micros(number(info, path, 0));
-    }
-
-    private static boolean flag(Map<String, String> info, String path) {
-        return info.getOrDefault(path, "false").equals("true");
-    }
-
-    private static String listItem(Map<String, String> info, String path, int i) {
-        String[] v = info.getOrDefault(path, "").split(",");
-        return i < v.length ? v[i] : "";
-    }
-
-    private double item(Map<String, String> info, String path, int i) {
-        String v = listItem(info, path, i);
-        return v.isEmpty() ? 0 : parse(v, path);
-    }
-
-    private static boolean truth(Map<String, String> info, String path, int i) {
-        return listItem(info, path, i).equals("true");
-    }
-
     private Seat seat() {
         int i = (int) whole(1, "I");
         Seat seat = seats.get(i);
--- /dev/null
+++ b/src/main/java/pewtercourse/cache/Attempt.java
@@ -0,0 +1,108 @@
+package pewtercourse.cache;
+
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import pewtercourse.Timers;
+
+/**
+ * One attempt at one cache: a connection, new or idle, then the request and its answer. It ends once, by
+ * whichever comes first; what comes later is dropped. A connection whose answer has not come whole is closed,
+ * which gives up the request.
+ */
+public final class Attempt {
+    private final CachePool pool;
+    private final Timers timers;
+    private final LongSupplier clock;
+    private final long cache;
+    private final InetSocketAddress address;
+    private final CacheRequest request;
+    private final long connectTimeout, until;
+    private final BooleanSupplier stillRight;
+    private final Consumer<CacheAnswer> done;
+    private CacheConnection connection;
+    private long timer = -1;
+    private boolean written, ended;
+
+    /**
+     * {@code until}: clock time at which it is given up. {@code stillRight} is asked just before the first byte
+     * is written: what the feed has told meanwhile may forbid it.
+     */
+    public Attempt(CachePool pool, Timers timers, LongSupplier clock, long cache, InetSocketAddress address,
+            CacheRequest request, long connectTimeout, long until, BooleanSupplier stillRight,
+            Consumer<CacheAnswer> done) {
+        this.pool = pool;
+        this.timers = timers;
+        this.clock = clock;
+        this.cache = cache;
+        this.address = address;
+        this.request = request;
+        this.connectTimeout = connectTimeout;
+        this.until = until;
+        this.stillRight = stillRight;
+        this.done = done;
+    }
+
+    public void start() {
+        connection = pool.take(cache);
+        if (connection != null) {
+            write();
+            return;
+        }
+        var connecting = pool.connect(address);
+        if (connecting == null) {
+            end(CacheAnswer.of(End.NO_DESCRIPTOR));
+            return;
+        }
+        long left = until - clock.getAsLong();
+        timer = timers.set(Timers.millis(Math.min(connectTimeout, left)),
+                () -> end(CacheAnswer.of(End.CONNECT_TIMEOUT)));
+        connecting.onComplete(c -> {
+            if (c.failed()) {
+                end(CacheAnswer.of(End.REFUSED));
+            } else if (ended) {
+                pool.giveBack(cache, c.result());
+            } else {
+                timers.cancel(timer);
+                connection = c.result();
+                write();
+            }
+        });
+    }
+
+    private void write() {
+        long left = until - clock.getAsLong();
+        if (left <= 0 || !stillRight.getAsBoolean()) {
+            pool.giveBack(cache, connection);
+            connection = null;
+            end(CacheAnswer.of(End.OVERTAKEN));
+            return;
+        }
+        written = true;
+        timer = timers.set(Timers.millis(left), () -> end(CacheAnswer.of(End.TIMEOUT)));
+        // Once the request may have left, a connection that ends proves nothing: RESET, reused or not.
+        connection.exchange(request, Math.max(1, left / 1000)).onComplete(a ->
+                end(a.succeeded() ? a.result() : CacheAnswer.of(End.RESET)));
+    }
+
+    /** Withdraws it. Its end is told as for every other. */
+    public void cancel() {
+        end(CacheAnswer.of(written ? End.CANCELLED : End.CANCELLED_UNSENT));
+    }
+
+    private void end(CacheAnswer answer) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        timers.cancel(timer);
+        if (connection != null) {
+            switch (answer.end()) {
+                case SERVED, NOT_MODIFIED, MISS, FULL, EXPIRED, ERROR -> pool.giveBack(cache, connection);
+                default -> connection.close();
+            }
+        }
+        done.accept(answer);
+    }
+}
--- /dev/null
+++ b/src/main/java/pewtercourse/cache/CachePool.java
@@ -0,0 +1,98 @@
+package pewtercourse.cache;
+
+import io.vertx.core.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+/**
+ * Idle connections to caches, by the cache's number: a new cache may come up at the address of one that is
+ * gone, and must not get its connections. The last used is taken first. Counts every connection, so that the
+ * descriptors last.
+ */
+public final class CachePool {
+    private record Idle(CacheConnection connection, long since) { }
+
+    private final Transport transport;
+    private final LongSupplier clock;
+    private final long idleMost;
+    private final int connectionsMost;
+    private final Map<Long, Deque<Idle>> idle = new HashMap<>();
+    private int connections;
+
+    /** {@code idleMost}: microseconds after which an idle connection isn't used again. */
+    public CachePool(Transport transport, LongSupplier clock, long idleMost, int connectionsMost) {
+        this.transport = transport;
+        this.clock = clock;
+        this.idleMost = idleMost;
+        this.connectionsMost = connectionsMost;
+    }
+
+    /** An idle connection that is still open, or null. */
+    CacheConnection take(long cache) {
+        Deque<Idle> of = idle.get(cache);
+        while (of != null && !of.isEmpty()) {
+            Idle i = of.pollLast();
+            if (i.connection.isOpen() && clock.getAsLong() - i.since < idleMost) {
+                return i.connection;
+            }
+            i.connection.close();
+        }
+        return null;
+    }
+
+    /** A new connection, or null if there are as many as may be and none is idle. */
+    Future<CacheConnection> connect(InetSocketAddress to) {
+        if (connections >= connectionsMost && !closeOneIdle()) {
+            return null;
+        }
+        connections++;
+        return transport.connect(to).onComplete(done -> {
+            if (done.succeeded()) {
+                done.result().onClose(() -> connections--);
+            } else {
+                connections--;
+            }
+        });
+    }
+
+    void giveBack(long cache, CacheConnection c) {
+        Deque<Idle> of = idle.get(cache);
+        if (of == null || !c.isOpen()) {
+            c.close();
+            return;
+        }
+        of.addLast(new Idle(c, clock.getAsLong()));
+        while (clock.getAsLong() - of.peekFirst().since >= idleMost) {
+            of.pollFirst().connection.close();
+        }
+    }
+
+    /** From now on connections to this cache are kept. */
+    public void admit(long cache) {
+        idle.putIfAbsent(cache, new ArrayDeque<>());
+    }
+
+    /** The cache is gone, or is not trusted to answer: its idle connections are closed. */
+    public void drop(long cache, boolean forGood) {
+        Deque<Idle> of = forGood ? idle.remove(cache) : idle.get(cache);
+        while (of != null && !of.isEmpty()) {
+            of.pollLast().connection.close();
+        }
+    }
+
+    private boolean closeOneIdle() {
+        for (Iterator<Deque<Idle>> all = idle.values().iterator(); all.hasNext();) {
+            Deque<Idle> of = all.next();
+            if (!of.isEmpty()) {
+                of.pollFirst().connection.close();
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/pewtercourse/cache/Transport.java
@@ -0,0 +1,9 @@
+package pewtercourse.cache;
+
+import io.vertx.core.Future;
+import java.net.InetSocketAddress;
+
+/** Opens connections to caches. */
+interface Transport {
+    Future<CacheConnection> connect(InetSocketAddress to);
+}
--- /dev/null
+++ b/src/main/java/pewtercourse/config/DirectorConfig.java
@@ -0,0 +1,162 @@
+package pewtercourse.config;
+
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What one real director is told: the GW_* variables and the JSON file that they name. This is the only place
+ * where they are read, checked and given defaults.
+ */
+public record DirectorConfig(String name, InetSocketAddress listen, long seed, int sockets,
+        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress feed, JsonArray known,
+        long knownNumber, SiteSettings site) {
+
+    private static final int DEFAULT_SOCKETS = 1024;
+
+    public static DirectorConfig fromEnvironment(Map<String, String> env) {
+        String path = required(env, "GW_CONFIG");
+        JsonObject json;
+        try {
+            json = new JsonObject(Files.readString(Path.of(path)));
+        } catch (IOException e) {
+            throw new ConfigException("GW_CONFIG", "can't read '" + path + "': " + e.getMessage());
+        } catch (DecodeException e) {
+            throw new ConfigException("GW_CONFIG", "'" + path + "' is not JSON: " + e.getMessage());
+        }
+        return read(env, json);
+    }
+
+    /** The variables win over the file where both tell the name and the address. */
+    public static DirectorConfig read(Map<String, String> env, JsonObject json) {
+        String name = env.getOrDefault("GW_NAME", string(json, "name", "director"));
+        String listen = env.getOrDefault("GW_LISTEN", string(json, "listen", null));
+        if (listen == null) {
+            throw new ConfigException("GW_LISTEN", "missing, and the configuration has no 'listen'");
+        }
+        JsonObject known = object(json, "known", new JsonObject());
+        JsonObject settings = object(json, "settings", null);
+        if (settings == null) {
+            throw new ConfigException("settings", "missing");
+        }
+        List<InetSocketAddress> peers = new ArrayList<>();
+        JsonArray addresses = array(json, "peers");
+        for (int i = 0; i < addresses.size(); i++) {
+            peers.add(address("peers[" + i + "]", String.valueOf(addresses.getValue(i))));
+        }
+        String peerListen = string(json, "peer_listen", null);
+        String feed = string(json, "feed", null);
+        SiteSettings site = SiteSettings.read(flat(settings));
+        if (site.classes().isEmpty()) {
+            throw new ConfigException("settings.Classes", "no class of requests");
+        }
+        return new DirectorConfig(name, address("GW_LISTEN", listen), seed(string(json, "seed", "0")),
+                (int) number(object(json, "limits", new JsonObject()), "limits.", "sockets", DEFAULT_SOCKETS),
+                peerListen == null ? null : address("peer_listen", peerListen), peers,
+                feed == null ? null : address("feed", feed),
+                array(known, "events"), number(known, "known.", "n", 0), site);
+    }
+
+    /** Nested settings as pairs of path and value, as the simulator's wire has them. */
+    static Map<String, String> flat(JsonObject settings) {
+        Map<String, String> pairs = new HashMap<>();
+        flatten(pairs, "", settings);
+        return pairs;
+    }
+
+    private static void flatten(Map<String, String> to, String path, Object value) {
+        if (value instanceof JsonObject o) {
+            for (String key : o.fieldNames()) {
+                flatten(to, path.isEmpty() ? key : path + "." + key, o.getValue(key));
+            }
+        } else if (value instanceof JsonArray a && !a.isEmpty() && a.getValue(0) instanceof JsonObject) {
+            to.put(path + ".count", String.valueOf(a.size()));
+            for (int i = 0; i < a.size(); i++) {
+                flatten(to, path + "." + i, a.getValue(i));
+            }
+        } else if (value instanceof JsonArray a) {
+            List<String> items = new ArrayList<>();
+            a.forEach(v -> items.add(plain(v)));
+            to.put(path, String.join(",", items));
+        } else if (value != null) {
+            to.put(path, plain(value));
+        }
+    }
+
+    private static String plain(Object value) {
+        return String.valueOf(value).replace(' ', '_').replace(',', '_');
+    }
+
+    private static String required(Map<String, String> env, String key) {
+        String v = env.get(key);
+        if (v == null || v.isEmpty()) {
+            throw new ConfigException(key, "missing");
+        }
+        return v;
+    }
+
+    private static String string(JsonObject json, String key, String otherwise) {
+        Object v = json.getValue(key);
+        if (v != null && !(v instanceof String)) {
+            throw new ConfigException(key, "'" + v + "' is not a string");
+        }
+        return v == null ? otherwise : (String) v;
+    }
+
+    private static JsonObject object(JsonObject json, String key, JsonObject otherwise) {
+        Object v = json.getValue(key);
+        if (v != null && !(v instanceof JsonObject)) {
+            throw new ConfigException(key, "not an object");
+        }
+        return v == null ? otherwise : (JsonObject) v;
+    }
+
+    private static JsonArray array(JsonObject json, String key) {
+        Object v = json.getValue(key);
+        if (v != null && !(v instanceof JsonArray)) {
+            throw new ConfigException(key, "not a list");
+        }
+        return v == null ? new JsonArray() : (JsonArray) v;
+    }
+
+    private static long number(JsonObject json, String path, String key, long otherwise) {
+        Object v = json.getValue(key);
+        if (v != null && !(v instanceof Number)) {
+            throw new ConfigException(path + key, "'" + v + "' is not a number");
+        }
+        return v == null ? otherwise : ((Number) v).longValue();
+    }
+
+    private static long seed(String hex) {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new ConfigException("seed", "'" + hex + "' is not hex digits");
+        }
+    }
+
+    /** A numeric address and a port; names are refused, since there is no DNS. */
+    public static InetSocketAddress address(String key, String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            String host = text.substring(0, Math.max(0, colon));
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (host.matches("[0-9.]+|\\[?[0-9a-fA-F:.]+\\]?") && port > 0 && port < 65536) {
+                return new InetSocketAddress(InetAddress.getByName(host), port);
+            }
+        } catch (NumberFormatException | UnknownHostException e) {
+            // told below
+        }
+        throw new ConfigException(key, "'" + text + "' is not ADDRESS:PORT");
+    }
+}
--- /dev/null
+++ b/src/main/java/pewtercourse/config/SiteSettings.java
@@ -0,0 +1,160 @@
+package pewtercourse.config;
+
+import java.util.HashMap;
+import java.util.Map;
+import pewtercourse.decision.Router;
+
+/**
+ * The typed settings of one site, read from pairs of path and value. The simulator's first message holds them
+ * in this form; the configuration of a real director is flattened to it, so that both go through these checks.
+ * Unknown keys are ignored. Times are microseconds, as in the decision module.
+ */
+public record SiteSettings(Router.Settings router, Map<String, Integer> classes, Map<String, Integer> zones,
+        String parentKind, String originKind, long connectTimeout, long idleClose, long answerSlack) {
+
+    public static SiteSettings read(Map<String, String> info) {
+        return new Reader(info).read();
+    }
+
+    /** A line of the list, with the names of zone and kind resolved. */
+    public Router.Member member(long id, String zone, String kind, int cell, Router.State state, double weight,
+            long since) {
+        Router.Role role = kind.equals(parentKind) ? Router.Role.PARENT
+                : kind.equals(originKind) ? Router.Role.ORIGIN : Router.Role.CACHE;
+        return new Router.Member(id, zones.getOrDefault(zone, -1), role, cell, state, weight, since);
+    }
+
+    private record Reader(Map<String, String> info) {
+        SiteSettings read() {
+            Map<String, Integer> zones = places(info.getOrDefault("Zones", ""));
+            Map<String, Integer> names = new HashMap<>();
+            String[] kinds = info.getOrDefault("Skus", "").split(",");
+            Router.RequestClass[] classes = new Router.RequestClass[(int) number("Classes.count", 0)];
+            for (int c = 0; c < classes.length; c++) {
+                names.put(info.getOrDefault("Classes." + c + ".Name", ""), c);
+                classes[c] = requestClass(c);
+            }
+            Router.Settings s = new Router.Settings((int) number("Me", 0), (int) number("Instances", 1),
+                    zones.getOrDefault(info.getOrDefault("Zone", ""), -1),
+                    seats(), classes, number("Domain.ClientKbPerS", 0), flag("Domain.CanJoin"),
+                    flag("Domain.MayPassBy"), flag("Permissions.MayTell"),
+                    flag("Permissions.ParallelTries"), flag("Permissions.Cancel"),
+                    flag("Permissions.RetryAfter"), span("Permissions.MaxRetryAfter"),
+                    (int) number("Permissions.TryLimit", 1),
+                    !info.getOrDefault("Discovery", "push").equals("ask"), weightsTold(), siblings(), notes(),
+                    new Router.ColdRule(number("Rules.ColdFrom", 1), span("Rules.WarmUp"),
+                            number("Rules.FallMultiple", 1)),
+                    new Router.ColdRule(number("Domain.ParentColdFrom", 1), span("Domain.ParentWarmsIn"),
+                            number("Domain.ParentLimitFactor", 1)),
+                    span("Rules.TipAfter"), span("Domain.PurgeTakes"));
+            return new SiteSettings(s, names, zones, kind(kinds, (int) number("Domain.MidKind", -1)),
+                    kind(kinds, (int) number("Domain.MasterKind", -1)),
+                    micros(number("Permissions.ConnectTimeout", 1000)),
+                    micros(number("Permissions.IdleClose", 15_000)), span("Rules.AnswerSlack"));
+        }
+
+        private Router.RequestClass requestClass(int c) {
+            String p = "Classes." + c + ".";
+            Router.Effect effect = switch (info.getOrDefault(p + "Effect", "pure")) {
+                case "token" -> Router.Effect.TOKEN;
+                case "side_effect" -> Router.Effect.SIDE_EFFECT;
+                default -> Router.Effect.PURE;
+            };
+            Router.Group group = switch (info.getOrDefault(p + "Group", "all")) {
+                case "zone" -> Router.Group.ZONE;
+                case "cell" -> Router.Group.CELL;
+                default -> Router.Group.ALL;
+            };
+            return new Router.RequestClass(effect, group, span(p + "MemorySpan"), span(p + "Aim"),
+                    number(p + "AimStretch", 0), span(p + "Deadline"), flag(p + "Stream"),
+                    micros(item("Domain.GoodFor", c)), truth("Domain.InParts", c),
+                    truth("Domain.GoesThrough", c));
+        }
+
+        private int[] seats() {
+            int[] counts = new int[info.getOrDefault("Domain.SeatsByZone", "").split(",").length];
+            for (int z = 0; z < counts.length; z++) {
+                counts[z] = (int) item("Domain.SeatsByZone", z);
+            }
+            return counts;
+        }
+
+        private boolean weightsTold() {
+            String weights = info.getOrDefault("Weights", "silent");
+            return weights.equals("nominal") || weights.equals("rough");
+        }
+
+        private Router.Siblings siblings() {
+            return switch (info.getOrDefault("Domain.Siblings", "silent")) {
+                case "location" -> Router.Siblings.OWN_ZONE;
+                case "any" -> Router.Siblings.ANY;
+                default -> Router.Siblings.NONE;
+            };
+        }
+
+        private Router.Notes notes() {
+            return switch (info.getOrDefault("Domain.Says", "silent")) {
+                case "all" -> Router.Notes.ALL;
+                case "hit" -> Router.Notes.HITS;
+                default -> Router.Notes.NONE;
+            };
+        }
+
+        private static Map<String, Integer> places(String names) {
+            Map<String, Integer> m = new HashMap<>();
+            String[] parts = names.split(",");
+            for (int i = 0; i < parts.length; i++) {
+                m.put(parts[i], i);
+            }
+            return m;
+        }
+
+        private static String kind(String[] kinds, int place) {
+            return place >= 0 && place < kinds.length ? kinds[place] : null;
+        }
+
+        private double number(String path, double otherwise) {
+            String v = info.get(path);
+            return v == null || v.isEmpty() || v.equals("-") ? otherwise : parse(v, path);
+        }
+
+        private long span(String path) {
+            return micros(number(path, 0));
+        }
+
+        private boolean flag(String path) {
+            return info.getOrDefault(path, "false").equals("true");
+        }
+
+        private String listItem(String path, int i) {
+            String[] v = info.getOrDefault(path, "").split(",");
+            return i < v.length ? v[i] : "";
+        }
+
+        private double item(String path, int i) {
+            String v = listItem(path, i);
+            return v.isEmpty() ? 0 : parse(v, path);
+        }
+
+        private boolean truth(String path, int i) {
+            return listItem(path, i).equals("true");
+        }
+
+        private static double parse(String v, String path) {
+            try {
+                double d = Double.parseDouble(v);
+                if (Double.isFinite(d)) {
+                    return d;
+                }
+            } catch (NumberFormatException e) {
+                // told below
+            }
+            throw new ConfigException(path, "'" + (v.length() <= 40 ? v : v.substring(0, 40) + "...")
+                    + "' is not a number");
+        }
+
+        private static long micros(double ms) {
+            return Math.round(ms * 1000);
+        }
+    }
+}
--- a/src/main/java/pewtercourse/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -1,4 +1,4 @@
-package pewtercourse;
+package pewtercourse.decision;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
--- a/src/main/java/pewtercourse/Router.java
+++ b/src/main/java/pewtercourse/decision/Router.java
@@ -1,4 +1,4 @@
-package pewtercourse;
+package pewtercourse.decision;
 
 import java.util.List;
 
--- /dev/null
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -0,0 +1,176 @@
+package pewtercourse.director;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import pewtercourse.Log;
+import pewtercourse.Timers;
+import pewtercourse.cache.CachePool;
+import pewtercourse.cache.HttpTransport;
+import pewtercourse.config.DirectorConfig;
+import pewtercourse.config.SiteSettings;
+import pewtercourse.decision.Logic;
+import pewtercourse.decision.Router;
+import pewtercourse.feed.FeedClient;
+import pewtercourse.feed.FeedEvent;
+import pewtercourse.front.Answer;
+import pewtercourse.front.ClientRequest;
+import pewtercourse.front.RequestHandler;
+import pewtercourse.peer.PeerSocket;
+
+/**
+ * Between the sockets and the decision module: hands it what happened, in order of arrival and in one batch for
+ * each turn of the event loop, and carries out what it orders. All runs on one event loop.
+ */
+public final class Director implements RequestHandler {
+    // Descriptors kept for the listener, the feed, the peers, the selector and the files of the program.
+    private static final int OTHER_DESCRIPTORS = 64;
+    // An idle connection is not used in the last part of the time after which a cache closes it.
+    private static final double IDLE_SHARE = 0.8;
+
+    final SiteSettings site;
+    final LongSupplier clock = new UnixClock();
+    final Timers timers;
+    final CachePool pool;
+    final Roster roster;
+    final boolean tracing = Boolean.getBoolean("pewtercourse.trace");
+    private final DirectorConfig config;
+    private final Vertx vertx;
+    private final Context context;
+    private final Router router;
+    private final PeerSocket peers;
+    private final Map<Long, Exchange> exchanges = new HashMap<>();
+    private List<Router.Event> events = new ArrayList<>();
+    private boolean scheduled;
+
+    /** Must be called on the event loop's context. */
+    public Director(Vertx vertx, DirectorConfig config) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.config = config;
+        this.site = config.site();
+        this.timers = Timers.of(vertx);
+        int connections = Math.max(16, config.sockets() - config.sockets() / 3 - OTHER_DESCRIPTORS);
+        this.pool = new CachePool(new HttpTransport(vertx, (int) Timers.millis(site.connectTimeout()) + 100),
+                clock, (long) (IDLE_SHARE * site.idleClose()), connections);
+        this.roster = new Roster(site, pool);
+        this.router = new Logic(site.router(), config.seed());
+        this.peers = new PeerSocket(vertx, config.peers(), (from, bytes) ->
+                tell(new Router.PeerMessage(from, bytes)));
+    }
+
+    /** Takes in what is known, then follows the feed and the peers. */
+    public void start() {
+        for (int i = 0; i < config.known().size(); i++) {
+            try {
+                feed(FeedEvent.decode(config.known().getJsonObject(i)));
+            } catch (RuntimeException e) {
+                Log.warn("feed.malformed", "event", "known.events[" + i + "]", "error", e);
+            }
+        }
+        if (config.feed() != null) {
+            new FeedClient(vertx, timers, config.feed(), config.knownNumber(), this::feed).start();
+        }
+        if (config.peerListen() != null) {
+            peers.listen(config.peerListen()).onFailure(e -> Log.warn("peer.not_listening", "error", e));
+        }
+    }
+
+    public LongSupplier clock() {
+        return clock;
+    }
+
+    public int open() {
+        return exchanges.size();
+    }
+
+    private void feed(FeedEvent e) {
+        if (e instanceof FeedEvent.Members m) {
+            tell(roster.apply(m));
+        } else if (e instanceof FeedEvent.Purge p) {
+            exchanges.values().forEach(x -> x.purged(p));
+            tell(new Router.Purged(p.object(), p.group(),
+                    Math.max(0, clock.getAsLong() - p.atMs() * 1000)));
+        }
+    }
+
+    @Override
+    public Runnable handle(ClientRequest request, Consumer<Answer> answer) {
+        Integer cls = site.classes().get(request.className());
+        Exchange x = cls == null ? null : new Exchange(this, request, cls, answer);
+        if (x == null || exchanges.putIfAbsent(x.id, x) != null) {
+            Log.warn("request.unusable", "id", request.id(), "class", request.className());
+            answer.accept(Answer.failed());
+            return () -> { };
+        }
+        x.arrive();
+        return x::clientGone;
+    }
+
+    void forget(Exchange x) {
+        exchanges.remove(x.id, x);
+    }
+
+    /** Queues an event; the batch goes to the module when what the loop has at hand is read. */
+    void tell(Router.Event e) {
+        events.add(e);
+        if (!scheduled) {
+            scheduled = true;
+            context.runOnContext(v -> decide());
+        }
+    }
+
+    private void decide() {
+        scheduled = false;
+        List<Router.Event> batch = events;
+        events = new ArrayList<>();
+        try {
+            for (Router.Action a : router.handle(clock.getAsLong(), batch)) {
+                act(a);
+            }
+        } catch (RuntimeException e) {
+            Log.error("decision.unexpected", e);
+            for (Router.Event event : batch) {
+                if (event instanceof Router.Request r && exchanges.containsKey(r.id())) {
+                    exchanges.get(r.id()).abandon();
+                } else if (event instanceof Router.Outcome o && exchanges.containsKey(o.id())) {
+                    exchanges.get(o.id()).abandon();
+                }
+            }
+        }
+    }
+
+    private void act(Router.Action action) {
+        if (action instanceof Router.Timer t) {
+            timers.set(Timers.millis(t.at() - clock.getAsLong()), () -> tell(new Router.TimerDue(t.name())));
+        } else if (action instanceof Router.Tell t) {
+            peers.send(t.router(), t.bytes());
+        } else if (action instanceof Router.Send s) {
+            with(s.id(), x -> x.send(s));
+        } else if (action instanceof Router.Cancel c) {
+            with(c.id(), x -> x.cancel(c.attempt()));
+        } else if (action instanceof Router.Refuse r) {
+            with(r.id(), x -> x.refuse(r.holdOff()));
+        } else if (action instanceof Router.Fail f) {
+            with(f.id(), Exchange::fail);
+        }
+    }
+
+    private void with(long id, Consumer<Exchange> then) {
+        Exchange x = exchanges.get(id);
+        if (x == null) {
+            return;
+        }
+        try {
+            then.accept(x);
+        } catch (RuntimeException e) {
+            Log.error("request.unexpected", e);
+            x.abandon();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pewtercourse/director/Exchange.java
@@ -0,0 +1,170 @@
+package pewtercourse.director;
+
+import java.util.function.Consumer;
+import pewtercourse.Log;
+import pewtercourse.Timers;
+import pewtercourse.cache.Attempt;
+import pewtercourse.cache.CacheAnswer;
+import pewtercourse.cache.CacheRequest;
+import pewtercourse.cache.End;
+import pewtercourse.decision.Router;
+import pewtercourse.feed.FeedEvent;
+import pewtercourse.front.Answer;
+import pewtercourse.front.ClientRequest;
+
+/**
+ * The life of one request, from top to bottom: it arrives; the module sends it on, once or several times, one
+ * attempt after the other; each attempt ends and the module hears how; the client gets one answer.
+ */
+final class Exchange {
+    // The module answers at the deadline by itself; if it has not by then, something went wrong here.
+    private static final long BACKSTOP = 15_000;
+
+    final long id;
+    private final Director director;
+    private final ClientRequest request;
+    private final int cls;
+    private final long expires, backstop;
+    private final Consumer<Answer> answer;
+    private Attempt attempt;
+    private Router.Send sent;
+    private long sentAt;
+    private int attempts;
+    private boolean over, purged;
+
+    Exchange(Director director, ClientRequest request, int cls, Consumer<Answer> answer) {
+        this.director = director;
+        this.id = Long.parseUnsignedLong(request.id(), 16);
+        this.request = request;
+        this.cls = cls;
+        this.expires = request.takenAt() + (long) (request.deadlineMs() * 1000);
+        this.answer = answer;
+        this.backstop = director.timers.set(
+                Timers.millis(expires + BACKSTOP - director.clock.getAsLong()), this::unanswered);
+    }
+
+    // ---- It arrives: the module plans ----
+    void arrive() {
+        director.tell(new Router.Request(id, cls, request.object(), request.part(), request.group(),
+                request.sizeKb(), expires, false, director.site.router().classes()[cls].goesThrough()));
+    }
+
+    // ---- The module sends it to a cache ----
+    void send(Router.Send s) {
+        long now = director.clock.getAsLong();
+        sent = s;
+        sentAt = now;
+        attempts++;
+        FeedEvent.Host to = director.roster.get(s.member());
+        FeedEvent.Host source = s.source() == s.member() ? null : director.roster.get(s.source());
+        long until = s.timeout() > 0 ? Math.min(expires, now + s.timeout()) : expires;
+        boolean unlisted = to == null || source == null && s.source() != s.member();
+        // Never two out at once, never to or from a cache that has gone, never after the client's time.
+        if (over || attempt != null || unlisted || until <= now
+                || attempts > director.site.router().tryLimit()) {
+            director.tell(outcome(attempts - 1, s, End.OVERTAKEN, null));
+            return;
+        }
+        purged = false;
+        CacheRequest out = new CacheRequest(request.id(), request.className(), request.object(),
+                request.part(), request.body(), source == null ? null : source.name(), s.keep(),
+                (s.maxAge() + 999) / 1000, s.join(), s.sourceHoldsOnly(), s.renew(), request.known());
+        int number = attempts - 1;
+        attempt = new Attempt(director.pool, director.timers, director.clock, s.member(), to.address(), out,
+                director.site.connectTimeout(), until, () -> stillRight(s), a -> ended(number, s, a));
+        attempt.start();
+    }
+
+    // The feed may have spoken while a connection came up.
+    private boolean stillRight(Router.Send s) {
+        return !over && !purged && director.roster.ready(s.member())
+                && (s.source() == s.member() || director.roster.ready(s.source()));
+    }
+
+    /** A purge of this object came: an attempt that still waits for its connection is decided anew. */
+    void purged(FeedEvent.Purge p) {
+        purged |= p.object() != null ? p.object().equals(request.object()) : p.group() == request.group();
+    }
+
+    void cancel(int number) {
+        if (attempt != null && number == attempts - 1) {
+            attempt.cancel();
+        }
+    }
+
+    // ---- The attempt ends: the first that serves is the client's answer; the module hears of each ----
+    private void ended(int number, Router.Send s, CacheAnswer a) {
+        attempt = null;
+        if (a.end() == End.SERVED) {
+            finish(Answer.served(a.body(), a.tag()));
+        } else if (a.end() == End.NOT_MODIFIED) {
+            finish(Answer.same(a.tag()));
+        }
+        if (director.tracing) {
+            Log.info("attempt.ended", "id", request.id(), "number", number, "cache",
+                    Long.toHexString(s.member()), "end", a.end(), "outcome", a.outcome(), "ms",
+                    (director.clock.getAsLong() - sentAt) / 1000);
+        }
+        director.tell(outcome(number, s, a.end(), a.outcome()));
+        leave();
+    }
+
+    private Router.Outcome outcome(int number, Router.Send s, End end, String note) {
+        return new Router.Outcome(id, number, s.member(), Endings.of(end), director.clock.getAsLong() - sentAt,
+                over, Endings.note(note));
+    }
+
+    // ---- The module gives up ----
+    void refuse(long holdOff) {
+        finish(Answer.refused(holdOff / 1000));
+        leave();
+    }
+
+    void fail() {
+        finish(Answer.failed());
+        leave();
+    }
+
+    // ---- The client has left ----
+    void clientGone() {
+        if (!over) {
+            over = true;
+            director.timers.cancel(backstop);
+            director.tell(new Router.ClientGone(id));
+            cancel(attempts - 1);
+            leave();
+        }
+    }
+
+    // ---- No request is lost, whatever broke ----
+    private void unanswered() {
+        Log.warn("request.unanswered", "id", request.id(), "class", request.className(), "attempts", attempts,
+                "out", attempt != null);
+        abandon();
+    }
+
+    void abandon() {
+        finish(Answer.failed());
+        director.tell(new Router.ClientGone(id));
+        cancel(attempts - 1);
+        leave();
+    }
+
+    private void finish(Answer a) {
+        if (!over) {
+            over = true;
+            director.timers.cancel(backstop);
+            if (director.tracing) {
+                Log.info("request.answered", "id", request.id(), "class", request.className(), "kind", a.kind(),
+                        "attempts", attempts, "ms", (director.clock.getAsLong() - request.takenAt()) / 1000);
+            }
+            answer.accept(a);
+        }
+    }
+
+    private void leave() {
+        if (over && attempt == null) {
+            director.forget(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pewtercourse/peer/PeerSocket.java
@@ -0,0 +1,56 @@
+package pewtercourse.peer;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramPacket;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.BiConsumer;
+import pewtercourse.Log;
+
+/** Short messages between directors: they come late or never, and only from addresses in the list of peers. */
+public final class PeerSocket {
+    public static final int MESSAGE_MOST = 256;
+
+    private final DatagramSocket socket;
+    private final List<InetSocketAddress> peers;
+    private final BiConsumer<Integer, byte[]> handler;
+
+    public PeerSocket(Vertx vertx, List<InetSocketAddress> peers, BiConsumer<Integer, byte[]> handler) {
+        this.socket = vertx.createDatagramSocket(new DatagramSocketOptions());
+        this.peers = peers;
+        this.handler = handler;
+    }
+
+    public Future<DatagramSocket> listen(InetSocketAddress at) {
+        socket.handler(this::take);
+        socket.exceptionHandler(e -> Log.warn("peer.error", "error", e));
+        return socket.listen(at.getPort(), at.getAddress().getHostAddress());
+    }
+
+    private void take(DatagramPacket packet) {
+        for (int i = 0; i < peers.size(); i++) {
+            InetSocketAddress p = peers.get(i);
+            if (p.getPort() == packet.sender().port()
+                    && p.getAddress().getHostAddress().equals(packet.sender().host())) {
+                if (packet.data().length() <= MESSAGE_MOST) {
+                    handler.accept(i, packet.data().getBytes());
+                }
+                return;
+            }
+        }
+        Log.warn("peer.stranger", "from", packet.sender());
+    }
+
+    public void send(int peer, byte[] bytes) {
+        if (peer < 0 || peer >= peers.size() || bytes.length > MESSAGE_MOST) {
+            Log.warn("peer.unsendable", "to", peer, "bytes", bytes.length);
+            return;
+        }
+        InetSocketAddress to = peers.get(peer);
+        socket.send(Buffer.buffer(bytes), to.getPort(), to.getAddress().getHostAddress());
+    }
+}
--- a/src/test/java/pewtercourse/BenchLinkTest.java
+++ b/src/test/java/pewtercourse/bench/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package pewtercourse;
+package pewtercourse.bench;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import pewtercourse.decision.Router;
 
 class BenchLinkTest {
     private static final String START = "ROUND\t100\nNEW_INSTANCE\t3\t99\tClasses.count=1\tClasses.0.Name=doc"
--- a/src/test/java/pewtercourse/Bench.java
+++ b/src/test/java/pewtercourse/decision/Bench.java
@@ -1,15 +1,15 @@
-package pewtercourse;
+package pewtercourse.decision;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import pewtercourse.Router.Action;
-import pewtercourse.Router.Ending;
-import pewtercourse.Router.Event;
-import pewtercourse.Router.Member;
-import pewtercourse.Router.Note;
-import pewtercourse.Router.Role;
-import pewtercourse.Router.Send;
-import pewtercourse.Router.State;
+import pewtercourse.decision.Router.Action;
+import pewtercourse.decision.Router.Ending;
+import pewtercourse.decision.Router.Event;
+import pewtercourse.decision.Router.Member;
+import pewtercourse.decision.Router.Note;
+import pewtercourse.decision.Router.Role;
+import pewtercourse.decision.Router.Send;
+import pewtercourse.decision.Router.State;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/pewtercourse/LogicTest.java
+++ b/src/test/java/pewtercourse/decision/LogicTest.java
@@ -1,23 +1,23 @@
-package pewtercourse;
-
-import static pewtercourse.Bench.MS;
-import static pewtercourse.Bench.START;
-import static pewtercourse.Bench.all;
-import static pewtercourse.Bench.as;
-import static pewtercourse.Bench.cache;
-import static pewtercourse.Bench.parent;
-import static pewtercourse.Bench.send;
+package pewtercourse.decision;
+
+import static pewtercourse.decision.Bench.MS;
+import static pewtercourse.decision.Bench.START;
+import static pewtercourse.decision.Bench.all;
+import static pewtercourse.decision.Bench.as;
+import static pewtercourse.decision.Bench.cache;
+import static pewtercourse.decision.Bench.parent;
+import static pewtercourse.decision.Bench.send;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import pewtercourse.Router.Action;
-import pewtercourse.Router.Ending;
-import pewtercourse.Router.Member;
-import pewtercourse.Router.Note;
-import pewtercourse.Router.Send;
-import pewtercourse.Router.State;
+import pewtercourse.decision.Router.Action;
+import pewtercourse.decision.Router.Ending;
+import pewtercourse.decision.Router.Member;
+import pewtercourse.decision.Router.Note;
+import pewtercourse.decision.Router.Send;
+import pewtercourse.decision.Router.State;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -840,7 +840,7 @@
 
     @Test
     void theModuleStaysShortAndNamesItsInterface() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/pewtercourse/Logic.java"), StandardCharsets.UTF_8);
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/pewtercourse/decision/Logic.java"), StandardCharsets.UTF_8);
         int filled = 0;
         for (String l : lines) {
             assertTrue(l.length() <= 110, l);
