Give refused clients a hold-off also where RetryAfter is false

Seen: the module gave no hold-off at this site, as Permissions.RetryAfter is false, so X-Pushback-Ms was never sent. Chosen: the module always advises (a quarter to a half of the class's aim, at most MaxRetryAfter); RetryAfter is no longer read.

--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -571,7 +571,9 @@
         }
     }
 
-    // The final answer when no attempt is left, at once; the client hears when to come again.
+    // The final answer when no attempt is left, at once; the client hears when to come again, also where the
+    // site doesn't promise that its clients are told (RetryAfter false): those that hear it come back spread
+    // out and while their aim runs, the others lose nothing.
     private void giveUp(Open r) {
         if (r.live > 0) {
             return;
@@ -580,7 +582,7 @@
                 || r.cls.effect() == Effect.TOKEN && r.cls.group() == Group.ALL;
         if (harmless) {
             long wait = (long) (HOLD_OFF * r.cls.aim() * (1 + random.nextDouble()));
-            actions.add(new Refuse(r.asks.id(), set.adviseRetry() ? Math.min(set.maxRetryAfter(), wait) : 0));
+            actions.add(new Refuse(r.asks.id(), Math.min(set.maxRetryAfter(), wait)));
         } else {
             actions.add(new Fail(r.asks.id()));
         }
--- a/src/main/java/pewtercourse/decision/Router.java
+++ b/src/main/java/pewtercourse/decision/Router.java
@@ -44,7 +44,7 @@
     /** {@code seats}: routers in each zone. {@code weightsTold}: weights are sizes, and lasting ones. */
     record Settings(int me, int routers, int zone, int[] seats, RequestClass[] classes, double clientKbPerS,
             boolean canJoin, boolean mayPassBy, boolean mayTell, boolean parallelTries, boolean mayCancel,
-            boolean adviseRetry, long maxRetryAfter, int tryLimit, boolean pushedLists, boolean weightsTold,
+            long maxRetryAfter, int tryLimit, boolean pushedLists, boolean weightsTold,
             Siblings siblings, Notes notes, ColdRule coldCache, ColdRule coldParent, long tipAfter,
             long purgeTakes) { }
 
