--- /dev/null
+++ b/src/test/java/pewtercourse/config/DirectorConfigTest.java
@@ -0,0 +1,70 @@
+package pewtercourse.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class DirectorConfigTest {
+    private static JsonObject example() throws Exception {
+        return new JsonObject(Files.readString(Path.of("examples/config.json")));
+    }
+
+    @Test
+    void theExampleIsReadInTheModulesUnits() throws Exception {
+        DirectorConfig c = DirectorConfig.read(Map.of("GW_NAME", "n7"), example());
+        assertEquals("n7", c.name());
+        assertEquals(8443, c.listen().getPort());
+        assertEquals(0x8c1f30d27a5be964L, c.seed());
+        assertEquals(400_000, c.site().connectTimeout());
+        assertEquals(Map.of("menu-media", 0, "menu-page", 1, "place-order", 2), c.site().classes());
+        assertEquals(8_000_000, c.site().router().classes()[1].goodFor());
+        assertTrue(c.site().router().classes()[2].goesThrough());
+        assertEquals(1, c.site().router().zone());
+        assertEquals("parent", c.site().parentKind());
+    }
+
+    @Test
+    void nestedSettingsBecomeTheWiresPairs() {
+        Map<String, String> flat = DirectorConfig.flat(new JsonObject().put("A", new JsonObject().put("B", 1.5))
+                .put("L", new JsonArray().add("x y").add(2)).put("E", new JsonArray())
+                .put("O", new JsonArray().add(new JsonObject().put("N", "a"))));
+        assertEquals(Map.of("A.B", "1.5", "L", "x_y,2", "E", "", "O.count", "1", "O.0.N", "a"), flat);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "listen | \"nowhere\" | GW_LISTEN",
+        "listen | 5 | listen",
+        "feed | \"feed.example:80\" | feed",
+        "peers | [\"10.0.0.1\"] | peers[0]",
+        "peer_listen | \"10.0.0.1:0\" | peer_listen",
+        "seed | \"xyz\" | seed",
+        "known | [] | known",
+        "known | {\"n\":\"one\"} | known.n",
+        "limits | {\"sockets\":\"many\"} | limits.sockets",
+        "settings | null | settings",
+        "settings | {} | settings.Classes",
+        "settings | {\"Classes\":[{\"Name\":\"a\",\"Aim\":\"soon\"}]} | Classes.0.Aim"})
+    void anErrorBeginsWithTheFaultyKey(String key, String value, String named) throws Exception {
+        JsonObject json = example().put(key, new JsonArray("[" + value + "]").getValue(0));
+        Exception e = assertThrows(ConfigException.class, () -> DirectorConfig.read(Map.of(), json));
+        assertTrue(e.getMessage().startsWith(named + ":"), e.getMessage());
+    }
+
+    @Test
+    void aMissingFileIsToldWithTheVariable() {
+        Exception e = assertThrows(ConfigException.class,
+                () -> DirectorConfig.fromEnvironment(Map.of("GW_CONFIG", "no/such/file")));
+        assertTrue(e.getMessage().startsWith("GW_CONFIG:"), e.getMessage());
+        assertThrows(ConfigException.class, () -> DirectorConfig.fromEnvironment(Map.of()));
+    }
+}
--- /dev/null
+++ b/src/test/java/pewtercourse/director/DirectorTest.java
@@ -0,0 +1,143 @@
+package pewtercourse.director;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import pewtercourse.config.DirectorConfig;
+import pewtercourse.front.Answer;
+import pewtercourse.front.ClientRequest;
+
+/** The life of a request against one HTTP server, on a port that the system gives, which plays all members. */
+class DirectorTest {
+    private final Vertx vertx = Vertx.vertx();
+    private final List<String> asked = new CopyOnWriteArrayList<>();
+    private final AtomicInteger out = new AtomicInteger(), outMost = new AtomicInteger();
+    private Director director;
+
+    @AfterEach
+    void close() {
+        vertx.close();
+    }
+
+    /** {@code play} hears the request and how many came before it. */
+    private void start(BiConsumer<HttpServerRequest, Integer> play) throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        HttpServer server = vertx.createHttpServer(new HttpServerOptions().setHost("127.0.0.1").setPort(0));
+        server.requestHandler(r -> {
+            asked.add(r.method() + " " + r.uri());
+            outMost.accumulateAndGet(out.incrementAndGet(), Math::max);
+            r.response().endHandler(v -> out.decrementAndGet());
+            r.connection().closeHandler(v -> out.decrementAndGet());
+            r.body().onSuccess(b -> play.accept(r, count.getAndIncrement()));
+        });
+        int port = get(server.listen().toCompletionStage().toCompletableFuture()).actualPort();
+        JsonObject json = new JsonObject(Files.readString(Path.of("examples/config.json")));
+        json.remove("feed");
+        JsonArray hosts = json.getJsonObject("known").getJsonArray("events").getJsonObject(0)
+                .getJsonObject("members").getJsonArray("hosts");
+        hosts.forEach(h -> ((JsonObject) h).put("dial", "127.0.0.1:" + port));
+        DirectorConfig config = DirectorConfig.read(Map.of(), json);
+        CompletableFuture<Director> made = new CompletableFuture<>();
+        vertx.getOrCreateContext().runOnContext(v -> {
+            Director d = new Director(vertx, config);
+            d.start();
+            made.complete(d);
+        });
+        director = get(made);
+    }
+
+    private Answer ask(String cls, String known, double deadlineMs) throws Exception {
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        vertx.runOnContext(v -> director.handle(new ClientRequest("9b1f03aa5c7e2d41", cls, "7f3a9c21e0b4d655", 3,
+                17, 10, known, Buffer.buffer(cls.equals("place-order") ? "two couscous" : ""),
+                director.clock().getAsLong(), deadlineMs), answer::complete));
+        return get(answer);
+    }
+
+    private static <T> T get(CompletableFuture<T> f) throws Exception {
+        return f.get(30, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void theBytesOfACacheAreServed() throws Exception {
+        start((r, n) -> r.response().putHeader("ETag", "abc").end("menu"));
+        Answer a = ask("menu-page", null, 20_000);
+        assertEquals(Answer.Kind.SERVED, a.kind());
+        assertEquals("menu", a.body().toString());
+        assertEquals("abc", a.tag());
+        assertEquals(List.of("GET /o/menu-page/7f3a9c21e0b4d655/3"), asked);
+    }
+
+    @Test
+    void aCopyThatHoldsIsToldWithoutBytes() throws Exception {
+        start((r, n) -> r.response().setStatusCode("abc".equals(r.getHeader("If-None-Match")) ? 304 : 500)
+                .putHeader("ETag", "abc").end());
+        Answer a = ask("menu-page", "abc", 20_000);
+        assertEquals(Answer.Kind.SAME, a.kind());
+        assertEquals(0, a.body().length());
+    }
+
+    @Test
+    void anOrderWhoseConnectionBreaksIsNeitherRepeatedNorRefused() throws Exception {
+        start((r, n) -> r.connection().close());
+        assertEquals(Answer.Kind.FAILED, ask("place-order", null, 20_000).kind());
+        assertEquals(List.of("GET /o/place-order/7f3a9c21e0b4d655/3"), asked);
+    }
+
+    @Test
+    void whatIsSafeIsTriedAgainOneAttemptAtATime() throws Exception {
+        start((r, n) -> {
+            if (n < 2) {
+                r.connection().close();
+            } else {
+                r.response().end("menu");
+            }
+        });
+        assertEquals("menu", ask("menu-page", null, 20_000).body().toString());
+        assertEquals(3, asked.size());
+        assertEquals(1, outMost.get());
+    }
+
+    @Test
+    void anAnswerThatBreaksOffIsNotServed() throws Exception {
+        start((r, n) -> {
+            r.response().putHeader("Content-Length", "100");
+            r.response().write("half").onComplete(v -> r.connection().close());
+        });
+        Answer a = ask("menu-page", null, 20_000);
+        assertTrue(a.kind() == Answer.Kind.REFUSED || a.kind() == Answer.Kind.FAILED, a.kind().name());
+        assertTrue(asked.size() <= 6, "at most six attempts: " + asked);
+    }
+
+    @Test
+    void aSilentCacheEndsAtTheClientsDeadline() throws Exception {
+        start((r, n) -> { });
+        assertEquals(Answer.Kind.FAILED, ask("place-order", null, 200).kind());
+        assertEquals(1, asked.size());
+    }
+
+    @Test
+    void aClassThatTheSettingsLackFails() throws Exception {
+        start((r, n) -> { });
+        assertEquals(Answer.Kind.FAILED, ask("no-such-class", null, 20_000).kind());
+        assertEquals(0, asked.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/pewtercourse/director/EndingsTest.java
@@ -0,0 +1,41 @@
+package pewtercourse.director;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.util.EnumSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import pewtercourse.cache.End;
+import pewtercourse.decision.Router.Ending;
+import pewtercourse.decision.Router.Note;
+
+class EndingsTest {
+    private static final Set<Ending> NEVER_RAN = EnumSet.of(Ending.FULL, Ending.MISS, Ending.CONNECT_FAILED,
+            Ending.MOOT);
+    /** What may have run: an order must not be repeated after any of these. */
+    private static final Set<End> MAY_HAVE_RUN = EnumSet.of(End.SERVED, End.NOT_MODIFIED, End.ERROR,
+            End.MALFORMED, End.RESET, End.TIMEOUT, End.CANCELLED);
+
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void onlyWhatProvesThatNothingRanSaysSo(End end) {
+        assertEquals(!MAY_HAVE_RUN.contains(end), NEVER_RAN.contains(Endings.of(end)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"mem,1", "parent,2", "origin,3", "shared,4", "old,5", "denied,6", "unreached,7", "absent,8",
+        "crowded,9", "behind,10", "other,0"})
+    void notesGoByNameToTheSimulatorsNumbers(String word, int number) {
+        assertEquals(number, Endings.note(word).ordinal());
+    }
+
+    @Test
+    void noWordIsNoNote() {
+        assertEquals(Note.NONE, Endings.note(null));
+        assertFalse(NEVER_RAN.contains(Endings.of(End.RESET)));
+    }
+}
--- /dev/null
+++ b/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
@@ -0,0 +1,226 @@
+package pewtercourse.front.fastcgi;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Handler;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.lang.reflect.Proxy;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.Transformer;
+import pewtercourse.front.Answer;
+import pewtercourse.front.ClientRequest;
+
+/** A front connection under random steps, against a model of what each of its ids is owed. */
+class FastCgiModelTest {
+    private static final int IDS = 5;
+
+    /** What the front has done under one id, and what it may expect. */
+    private enum Owed { NOTHING, BODY, ANSWER }
+
+    private static final class Model {
+        final Random random = new Random(5);
+        final Map<Integer, Owed> owed = new HashMap<>();
+        final Map<Integer, Consumer<Answer>> handed = new HashMap<>();
+        final Map<Integer, Buffer> expected = new HashMap<>();
+        final Map<Integer, Deque<Buffer>> due = new HashMap<>(); // Bodies of answers not yet read, by id.
+        final Map<String, Integer> ids = new HashMap<>();
+        final List<Consumer<Answer>> aborted = new ArrayList<>();
+        final RecordReader written = new RecordReader();
+        final Map<Integer, Buffer> answers = new HashMap<>();
+        int gone, abortedOpen, serial;
+        boolean full, closed, paused;
+        Handler<Buffer> input;
+        Handler<Void> drain, close;
+
+        @SuppressWarnings("unchecked")
+        Model() {
+            NetSocket socket = (NetSocket) Proxy.newProxyInstance(NetSocket.class.getClassLoader(),
+                    new Class<?>[] {NetSocket.class}, (p, m, a) -> switch (m.getName()) {
+                        case "handler" -> set(() -> input = (Handler<Buffer>) a[0], p);
+                        case "drainHandler" -> set(() -> drain = (Handler<Void>) a[0], p);
+                        case "closeHandler" -> set(() -> close = (Handler<Void>) a[0], p);
+                        case "pause" -> set(() -> paused = true, p);
+                        case "resume" -> set(() -> paused = false, p);
+                        case "writeQueueFull" -> full;
+                        case "write" -> set(() -> written.add((Buffer) a[0]), null);
+                        case "close", "end" -> set(() -> closed = true, null);
+                        case "setWriteQueueMaxSize", "exceptionHandler" -> p;
+                        default -> null;
+                    });
+            new FastCgiConnection(socket, (r, answer) -> {
+                int id = ids.get(r.id());
+                assertEquals(Owed.ANSWER, owed.get(id), "handed on before its last byte");
+                assertTrue(expected.get(id).equals(r.body()), "another body");
+                assertNull(handed.put(id, answer), "handed on twice");
+                return () -> gone++;
+            }, () -> 1000);
+        }
+
+        private static Object set(Runnable r, Object then) {
+            r.run();
+            return then;
+        }
+
+        /** Records come in pieces of any length. */
+        void feed(Buffer bytes) {
+            for (int at = 0; at < bytes.length() && !closed;) {
+                int n = Math.min(bytes.length() - at, 1 + random.nextInt(40));
+                input.handle(bytes.getBuffer(at, at + n));
+                at += n;
+            }
+        }
+
+        void begin(int id) {
+            if (owed.getOrDefault(id, Owed.NOTHING) == Owed.NOTHING && !closed) {
+                owed.put(id, Owed.BODY);
+                expected.put(id, Buffer.buffer());
+                feed(Record.encode(Record.BEGIN, id, Buffer.buffer(new byte[] {0, 1, 1, 0, 0, 0, 0, 0})));
+                Map<String, String> params = new LinkedHashMap<>();
+                String name = String.format("%016x", ++serial);
+                ids.put(name, id);
+                params.put("SCRIPT_NAME", "/ops/page");
+                params.put("HTTP_X_CORRELATION_ID", name);
+                params.put("HTTP_X_SUBJECT", "7f3a9c21e0b4d655");
+                params.put("HTTP_X_DEADLINE_MS", "1500");
+                params.put("FILLER", "x".repeat(random.nextInt(300)));
+                feed(Record.encode(Record.PARAMS, id, Record.pairs(params)));
+                feed(Record.encode(Record.PARAMS, id, Buffer.buffer()));
+            }
+        }
+
+        void body(int id, int length) {
+            if (owed.get(id) == Owed.BODY && !closed) {
+                byte[] bytes = new byte[length];
+                random.nextBytes(bytes);
+                expected.get(id).appendBytes(bytes);
+                owed.put(id, length == 0 ? Owed.ANSWER : Owed.BODY);
+                feed(Record.encode(Record.STDIN, id, Buffer.buffer(bytes)));
+                assertEquals(length == 0, handed.containsKey(id));
+            }
+        }
+
+        void answer(int id, int length) {
+            Consumer<Answer> to = handed.remove(id);
+            if (to != null && !closed) {
+                byte[] bytes = new byte[length];
+                random.nextBytes(bytes);
+                owed.put(id, Owed.NOTHING);
+                to.accept(Answer.served(Buffer.buffer(bytes), "t"));
+                to.accept(Answer.failed()); // A second answer must go nowhere.
+                due.computeIfAbsent(id, i -> new ArrayDeque<>()).add(Buffer.buffer(bytes));
+            }
+        }
+
+        void abort(int id) {
+            if (!closed) {
+                if (handed.containsKey(id)) {
+                    aborted.add(handed.remove(id));
+                    abortedOpen++;
+                }
+                owed.put(id, Owed.NOTHING);
+                feed(Record.encode(Record.ABORT, id, Buffer.buffer()));
+                aborted.forEach(a -> a.accept(Answer.served(Buffer.buffer("late"), null)));
+                assertEquals(abortedOpen, gone, "each aborted request is dropped, once");
+            }
+        }
+
+        void noise(int kind) {
+            if (!closed) {
+                Buffer values = Record.pairs(Map.of("FCGI_MPXS_CONNS", "", "OTHER", ""));
+                feed(kind == 0 ? Record.encode(Record.GET_VALUES, 0, values)
+                        : kind == 1 ? Record.encode(77, 0, Buffer.buffer("?"))
+                        : Record.encode(Record.STDIN, 900, Buffer.buffer("no such request")));
+            }
+        }
+
+        /** The client stops or goes on reading. */
+        void reads(boolean on) {
+            full = !on;
+            if (on) {
+                drain.handle(null);
+                readAnswers();
+            }
+        }
+
+        void readAnswers() {
+            try {
+                for (Record r = written.next(); r != null; r = written.next()) {
+                    if (r.type() == Record.STDOUT) {
+                        answers.computeIfAbsent(r.id(), i -> Buffer.buffer()).appendBuffer(r.content());
+                    } else if (r.type() == Record.END && answers.containsKey(r.id())) {
+                        Buffer whole = answers.remove(r.id());
+                        String head = whole.getString(0, Math.min(200, whole.length()), "ISO-8859-1");
+                        assertTrue(head.startsWith("Status: 200 OK\r\n"), head.substring(0, 16));
+                        Buffer body = whole.getBuffer(head.indexOf("\r\n\r\n") + 4, whole.length());
+                        assertTrue(body.equals(due.get(r.id()).poll()), "not the answer that was owed");
+                    }
+                }
+            } catch (MalformedRecordException e) {
+                throw new AssertionError(e);
+            }
+        }
+
+        void garbage() {
+            if (!closed) {
+                int open = handed.size();
+                handed.clear();
+                gone -= open;
+                feed(Buffer.buffer(new byte[] {9, 9, 9, 9, 9, 9, 9, 9}));
+                assertTrue(closed, "a broken stream of records ends the connection");
+                assertEquals(abortedOpen, gone, "and drops its requests, once");
+            }
+        }
+    }
+
+    @Property(tries = 300, seed = "7")
+    void whateverTheOrderOfStepsEachRequestGetsItsOneAnswer(@ForAll("chains") ActionChain<Model> chain) {
+        Model m = chain.run();
+        if (!m.closed) {
+            m.reads(true);
+            for (int id = 1; id <= IDS; id++) {
+                m.answer(id, 240_000);
+            }
+            m.readAnswers();
+            assertTrue(m.due.values().stream().allMatch(Deque::isEmpty), "an answer was never written");
+            assertFalse(m.paused, "reads again once all is written");
+        }
+    }
+
+    @Provide
+    Arbitrary<ActionChain<Model>> chains() {
+        Arbitrary<Integer> id = Arbitraries.integers().between(1, IDS);
+        return ActionChain.startWith(Model::new)
+                .withAction(6, step(id.map(i -> Transformer.mutate("begin " + i, m -> m.begin(i)))))
+                .withAction(3, step(id.map(i -> Transformer.mutate("body " + i, m -> m.body(i, i * 700)))))
+                .withAction(6, step(id.map(i -> Transformer.mutate("last byte " + i, m -> m.body(i, 0)))))
+                .withAction(5, step(id.map(i -> Transformer.mutate("answer " + i, m -> m.answer(i, i * 50_000)))))
+                .withAction(2, step(id.map(i -> Transformer.mutate("abort " + i, m -> m.abort(i)))))
+                .withAction(2, step(id.map(i -> Transformer.mutate("noise " + i, m -> m.noise(i % 3)))))
+                .withAction(3, step(id.map(i -> Transformer.mutate("reads " + i, m -> m.reads(i % 2 == 0)))))
+                .withAction(1, step(id.filter(i -> i == IDS).map(i -> Transformer.mutate("garbage", Model::garbage))))
+                .withMaxTransformations(60);
+    }
+
+    private static Action.Independent<Model> step(Arbitrary<Transformer<Model>> of) {
+        return () -> of;
+    }
+}
