--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -14,7 +15,7 @@
 
 /**
  * Command line: {@code serve} is a real director, {@code benchlink} speaks the simulator's wire on standard
- * input and output.
+ * input and output, {@code rehearse} serves one request to itself for the build.
  */
 public final class Main {
     // After SIGTERM connections still come for 0.4 s, and requests on open ones for 0.2 s more.
@@ -24,12 +25,12 @@
     private Main() { }
 
     public static void main(String[] args) {
-        String command = args.length == 1 ? args[0] : "";
-        switch (command) {
+        switch (String.join(" ", args).replaceFirst(" .*", " ...")) {
             case "serve" -> serve();
             case "benchlink" -> benchlink();
+            case "rehearse ..." -> rehearse(args[1]);
             default -> {
-                System.err.println("usage: java -jar pewtercourse.jar serve|benchlink");
+                System.err.println("usage: java -jar pewtercourse.jar serve|benchlink|rehearse CONFIG");
                 System.exit(2);
             }
         }
@@ -56,19 +57,32 @@
             System.exit(2);
             return;
         }
-        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+        Vertx vertx = vertx();
+        vertx.exceptionHandler(e -> Log.error("loop.unexpected", e));
+        vertx.getOrCreateContext().runOnContext(v -> start(vertx, config));
+    }
+
+    private static void rehearse(String config) {
+        try {
+            Rehearsal.run(vertx(), config);
+        } catch (IOException e) {
+            System.err.println("pewtercourse: cannot read " + config + ": " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private static Vertx vertx() {
+        return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setPreferNativeTransport(false)
                 .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false)
                         .setClassPathResolvingEnabled(false)));
-        vertx.exceptionHandler(e -> Log.error("loop.unexpected", e));
-        vertx.getOrCreateContext().runOnContext(v -> start(vertx, config));
     }
 
     private static void start(Vertx vertx, DirectorConfig config) {
         Director director = new Director(vertx, config);
         director.start();
         FastCgiServer server = new FastCgiServer(vertx, director, director.clock());
-        server.listen(config.listen()).onComplete(done -> {
+        server.listen(SocketAddress.inetSocketAddress(config.listen())).onComplete(done -> {
             if (done.failed()) {
                 Log.warn("front.not_listening", "listen", config.listen(), "error", done.cause());
                 System.exit(1);
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
@@ -5,7 +5,6 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.SocketAddress;
-import java.net.InetSocketAddress;
 import java.util.function.LongSupplier;
 import pewtercourse.Log;
 import pewtercourse.front.RequestHandler;
@@ -21,7 +20,7 @@
         server.exceptionHandler(e -> Log.warn("front.accept_error", "error", e));
     }
 
-    public Future<NetServer> listen(InetSocketAddress at) {
-        return server.listen(SocketAddress.inetSocketAddress(at));
+    public Future<NetServer> listen(SocketAddress at) {
+        return server.listen(at);
     }
 }
