Remember for a minute what a warm member bore, so that an outage is no weakness

Checked: the budget of a cold member is a multiple of bore[], which averages over 4 s what warm members served; a lost zone stays listed as warm for 2 to 14 s and serves nothing, so bore[] was near 0 when it came back.

--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -43,6 +43,9 @@
     private static final double COLD_SHARE = 0.8;
     // Time over which the work borne by a member is averaged.
     private static final double BORNE_OVER = 4_000_000;
+    // What is known of how much a warm member bears fades by this in a tick, so by half in a minute. Guards
+    // against an outage, in which nothing is served until the list tells of it, being taken for weakness.
+    private static final double BORE_FADES = Math.pow(0.5, TICK / 60e6);
     // A cache with more attempts out than this multiple of the mean for its size, and this many, is skipped.
     private static final double LOAD_BOUND = 1.5, LOAD_FLOOR = 3;
     private static final double LARGE_LEAST = 0.2; // Share of a gate that is open to a request of any size.
@@ -783,8 +786,8 @@
         for (Open r : new ArrayList<>(open.values())) {
             overdue(r);
         }
-        bore[0] = borneByWarm(caches, bore[0]);
-        bore[1] = borneByWarm(parents, bore[1]);
+        bore[0] = Math.max(bore[0] * BORE_FADES, borneByWarm(caches, bore[0]));
+        bore[1] = Math.max(bore[1] * BORE_FADES, borneByWarm(parents, bore[1]));
         purges.values().removeIf(at -> now - at > set.purgeTakes() + 2 * TICK);
         if (set.mayTell() && set.routers() > 1 && now >= nextReport) {
             report();
--- a/src/test/java/pewtercourse/decision/LogicTest.java
+++ b/src/test/java/pewtercourse/decision/LogicTest.java
@@ -786,7 +786,7 @@
         assertEquals(4, used.size());
     }
 
-    private static int sentAfterAllRestart(boolean servedBefore) {
+    private static int sentAfterAllRestart(boolean servedBefore, int outageMs) {
         Bench b = new Bench();
         b.weightsTold = false;
         b.start(Bench.all());
@@ -796,6 +796,9 @@
                 b.end(s, 0, servedBefore ? Ending.OK : Ending.MISS, servedBefore ? Note.HIT : Note.NONE);
             }
         }
+        for (int i = 0; i < outageMs / 20; i++) {
+            b.sweep(20 * MS);
+        }
         List<Member> cold = new ArrayList<>();
         for (int id = 1; id <= 4; id++) {
             cold.add(as(cache(id), State.READY, b.now));
@@ -811,11 +814,18 @@
 
     @Test
     void aZoneThatRestartsAsAWholeGetsWhatItsCachesBoreBefore() {
-        int known = sentAfterAllRestart(true);
-        int unknown = sentAfterAllRestart(false);
+        int known = sentAfterAllRestart(true, 0);
+        int unknown = sentAfterAllRestart(false, 0);
         assertTrue(known > unknown, known + " and " + unknown);
     }
 
+    // A zone is lost seconds before the list tells of it: what its caches bore until then must not be forgotten.
+    @Test
+    void anOutageBeforeTheRestartIsNotTakenForWeakness() {
+        int after = sentAfterAllRestart(true, 10_000);
+        assertTrue(after > 0.7 * sentAfterAllRestart(true, 0), "sent " + after);
+    }
+
     @Test
     void oddSeatsAndRouterCountsAreBorne() {
         for (int[] seats : new int[][] {{}, {0}, {-3}, {1}}) {
