--- a/src/main/java/pewtercourse/config/SiteSettings.java
+++ b/src/main/java/pewtercourse/config/SiteSettings.java
@@ -34,9 +34,10 @@
                 names.put(info.getOrDefault("Classes." + c + ".Name", ""), c);
                 classes[c] = requestClass(c);
             }
-            Router.Settings s = new Router.Settings((int) number("Me", 0), (int) number("Instances", 1),
-                    zones.getOrDefault(info.getOrDefault("Zone", ""), -1),
-                    seats(), classes, number("Domain.ClientKbPerS", 0), flag("Domain.CanJoin"),
+            int zone = zones.getOrDefault(info.getOrDefault("Zone", ""), -1);
+            Router.Settings s = new Router.Settings((int) number("Me", 0), (int) number("Instances", 1), zone,
+                    seats(), classes, number("Domain.ClientKbPerS", 0),
+                    zone < 0 ? 0 : item("Domain.PipeKbPerS", zone), flag("Domain.CanJoin"),
                     flag("Domain.MayPassBy"), flag("Permissions.MayTell"),
                     flag("Permissions.ParallelTries"), flag("Permissions.Cancel"),
                     span("Permissions.MaxRetryAfter"),
--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -41,6 +41,10 @@
     private static final byte REPORT = 1, SUMS = 2;
     // Share of a cold member's budget that is used: weights and means are rough.
     private static final double COLD_SHARE = 0.8;
+    // Transfers at once that a zone's caches bear, in those that its link for fills carries: a link is a little
+    // wider than what its caches miss at full load, under a third; halved, as it is a guess. A zone of fewer
+    // caches than LINK_FOR has a link wider by the root of their ratio.
+    private static final double LINK_BEARS = 1.4, LINK_FOR = 8, CACHES_LEAST = 3;
     // Time over which the work borne by a member is averaged.
     private static final double BORNE_OVER = 4_000_000;
     // What is known of how much a warm member bears fades by this in a tick, so by half in a minute. Guards
@@ -177,6 +181,7 @@
     private double fillShare = 0.5;
     private long batch, nextReport;
     private boolean started;
+    private int mostCaches;
     private long now;
     private List<Action> actions = new ArrayList<>();
 
@@ -671,7 +676,8 @@
             n.spentSum -= n.spent.pollFirst()[1];
         }
         int split = parent ? Math.max(1, set.routers()) : seats;
-        double capacity = set.weightsTold() ? n.is.weight() / split : bore[parent ? 1 : 0];
+        double known = parent ? bore[1] : Math.max(bore[0], guess());
+        double capacity = set.weightsTold() ? n.is.weight() / split : known;
         ColdRule rule = parent ? set.coldParent() : set.coldCache();
         double bears = rule.multiple() * warmth(n, now - set.tipAfter()) * capacity;
         boolean turn = n.spent.isEmpty() && now / set.tipAfter() % split == set.me() % split;
@@ -679,6 +685,16 @@
                 || turn && !set.weightsTold();
     }
 
+    // What a warm cache bears for this router, by the zone's link. Guards against a router that starts with its
+    // zone and has seen nothing served yet: it would refuse nearly all until the caches are warm. Taken over the
+    // most caches listed so far, as the first of a zone to come back must not be given the work of all.
+    private double guess() {
+        double n = Math.max(CACHES_LEAST, mostCaches);
+        double wider = Math.sqrt(Math.max(1, LINK_FOR / n));
+        double carries = set.clientKbPerS() > 0 ? set.linkKbPerS() / set.clientKbPerS() : 0;
+        return LINK_BEARS * carries / wider / n / seats;
+    }
+
     // Transfers at once that this router has of late had served by a warm member of the list, on average.
     // While none is warm the last value stands: a zone that restarts as a whole is not left without.
     private double borneByWarm(List<Node> list, double before) {
@@ -779,6 +795,7 @@
                 origin = n;
             }
         }
+        mostCaches = Math.max(mostCaches, caches.size());
     }
 
     // ---- Housekeeping ----
--- a/src/main/java/pewtercourse/decision/Router.java
+++ b/src/main/java/pewtercourse/decision/Router.java
@@ -41,10 +41,13 @@
     /** The rule figures for members that have just started: caches or parents. */
     record ColdRule(double from, long warmsIn, double multiple) { }
 
-    /** {@code seats}: routers in each zone. {@code weightsTold}: weights are sizes, and lasting ones. */
+    /**
+     * {@code seats}: routers in each zone. {@code linkKbPerS}: what the own zone's link for fills carries, 0 if
+     * not told. {@code weightsTold}: weights are sizes, and lasting ones.
+     */
     record Settings(int me, int routers, int zone, int[] seats, RequestClass[] classes, double clientKbPerS,
-            boolean canJoin, boolean mayPassBy, boolean mayTell, boolean parallelTries, boolean mayCancel,
-            long maxRetryAfter, int tryLimit, boolean pushedLists, boolean weightsTold,
+            double linkKbPerS, boolean canJoin, boolean mayPassBy, boolean mayTell, boolean parallelTries,
+            boolean mayCancel, long maxRetryAfter, int tryLimit, boolean pushedLists, boolean weightsTold,
             Siblings siblings, Notes notes, ColdRule coldCache, ColdRule coldParent, long tipAfter,
             long purgeTakes) { }
 
--- a/src/test/java/pewtercourse/decision/LogicTest.java
+++ b/src/test/java/pewtercourse/decision/LogicTest.java
@@ -406,6 +406,22 @@
         assertTrue(workSent(b.start(m), 1, false) < 10);
     }
 
+    // A router that starts together with its whole zone has seen nothing served: the zone's link is its measure.
+    @Test
+    void aFreshRouterOfAFreshZoneGoesByTheZonesLink() {
+        Bench b = new Bench();
+        b.weightsTold = false;
+        b.linkKbPerS = 60_000;
+        Member[] m = Bench.all();
+        for (int i = 0; i < 4; i++) {
+            m[i] = as(m[i], State.READY, START);
+        }
+        double work = workSent(b.start(m), 1, false);
+        // 60,000 KB/s for 5,000 KB/s a transfer, as the four caches of two routers bear it, cold for 1.5 s.
+        double bears = 60_000 / 5_000.0 * 1.4 / Math.sqrt(2) / 4 / 2;
+        assertTrue(work > 0.25 * bears && work <= 2 * 0.25 * bears * 1.5, "sent " + work + " of " + bears);
+    }
+
     @Test
     void aColdParentStaysInsideItsBudgetFillsCounted() {
         Member[] m = Bench.all();
