--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -41,9 +41,9 @@
     private static final byte REPORT = 1, SUMS = 2;
     // Share of a cold member's budget that is used: weights and means are rough.
     private static final double COLD_SHARE = 0.8;
-    // Transfers at once that a zone's caches bear, in those that its link for fills carries: a link is a little
-    // wider than what its caches miss at full load, under a third; halved, as it is a guess. A zone of fewer
-    // caches than LINK_FOR has a link wider by the root of their ratio.
+    // Transfers at once that a zone's caches bear, in those that its link for fills carries: a link is a
+    // little wider than what its caches miss at full load, under a third; halved, as it is a guess. A zone of
+    // fewer caches than LINK_FOR has a link wider by the root of their ratio.
     private static final double LINK_BEARS = 1.4, LINK_FOR = 8, CACHES_LEAST = 3;
     // Time over which the work borne by a member is averaged.
     private static final double BORNE_OVER = 4_000_000;
@@ -685,9 +685,9 @@
                 || turn && !set.weightsTold();
     }
 
-    // What a warm cache bears for this router, by the zone's link. Guards against a router that starts with its
-    // zone and has seen nothing served yet: it would refuse nearly all until the caches are warm. Taken over the
-    // most caches listed so far, as the first of a zone to come back must not be given the work of all.
+    // What a warm cache bears for this router, by the zone's link. Guards against a router that starts with
+    // its zone and has seen nothing served yet: it would refuse nearly all until the caches are warm. Taken
+    // over the most caches listed so far: the first to come back must not be given the work of all.
     private double guess() {
         double n = Math.max(CACHES_LEAST, mostCaches);
         double wider = Math.sqrt(Math.max(1, LINK_FOR / n));
