Give unreached requests back while half of the client's time is left

Ruled out: a late timer of the director (each connect ended 400 to 403 ms after its start). Faulty lines: again(), which tried on as long as the budget of repeats lasted, whatever was left of the client's time.

--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -125,14 +125,14 @@
     private static final class Open {
         Request asks;
         RequestClass cls;
-        long object, piece, ranAt;
+        long object, piece, ranAt, arrived;
         double work;
         final List<Try> tries = new ArrayList<>(2);
         final List<Node> failed = new ArrayList<>(2), failedSources = new ArrayList<>(2);
         int live, turn;
         // The member of the first attempt that may have run or may yet run.
         Node ran;
-        boolean streaming, parentOnly, over;
+        boolean streaming, parentOnly, over, reached; // reached: some attempt came to a cache.
     }
 
     private static final class Tally {
@@ -250,6 +250,7 @@
         r.object = object;
         r.piece = mix(object + q.part());
         r.work = work;
+        r.arrived = now;
         if (open.putIfAbsent(q.id(), r) != null) {
             return;
         }
@@ -485,6 +486,7 @@
         boolean neverRan = o.ending() == Ending.FULL || o.ending() == Ending.CONNECT_FAILED
                 || o.ending() == Ending.MOOT || o.ending() == Ending.MISS;
         r.ran = neverRan && r.ranAt == t.at && r.live == 0 ? null : r.ran;
+        r.reached |= o.ending() != Ending.CONNECT_FAILED && o.ending() != Ending.MOOT;
         learn(r, t, o);
         if (o.last() || o.ending() == Ending.OK) {
             close(r);
@@ -565,13 +567,15 @@
     }
 
     // A further attempt costs a part of their budget, unless the last one only learned who lacks the
-    // object.
+    // object. What no cache could be reached for is given back while its client has half of its time left:
+    // guards against a zone that is cut off holding back requests that nobody works on.
     private void again(Open r, Try t, Outcome o) {
         boolean only = o.ending() == Ending.MISS || t.sibling && o.ending() == Ending.FULL;
         if (r.live > 0) {
             return;
         }
-        if (!only && retries < 1 || t.source == t.node && !fills.open(large(r))) {
+        boolean heldBack = !r.reached && now + (now - t.at) > r.arrived + (r.asks.expires() - r.arrived) / 2;
+        if (heldBack || !only && retries < 1 || t.source == t.node && !fills.open(large(r))) {
             giveUp(r);
         } else {
             retries -= only ? 0 : 1;
--- a/src/test/java/pewtercourse/decision/LogicTest.java
+++ b/src/test/java/pewtercourse/decision/LogicTest.java
@@ -406,6 +406,21 @@
         assertTrue(workSent(b.start(m), 1, false) < 10);
     }
 
+    // A request that came to no cache goes back before half of its client's time (3 s) is over.
+    @Test
+    void whatReachesNoCacheIsGivenBackEarly() {
+        Bench b = new Bench().start(Bench.all());
+        List<Action> out = b.ask("x");
+        int attempts = 0;
+        while (!all(out, Send.class).isEmpty()) {
+            b.now += 400 * MS;
+            out = b.end(send(out), attempts++, Ending.CONNECT_FAILED, Note.NONE);
+        }
+        assertEquals(3, attempts);
+        assertEquals(1, all(out, Router.Refuse.class).size());
+        assertTrue(b.now - START <= 1500 * MS);
+    }
+
     // A router that starts together with its whole zone has seen nothing served: the zone's link is its measure.
     @Test
     void aFreshRouterOfAFreshZoneGoesByTheZonesLink() {
