Bound what waits for slow readers, and never reuse a connection said to close

Seen by reading: a connection stopped being read at 1 MB waiting, but many such connections together could fill the heap, and 128 KB in the library's queue of each the direct memory. A cache's answer with 'Connection: close' ends the connection here too: one more request on it could be cut off and count as may-have-run.

--- a/src/main/java/pewtercourse/cache/HttpTransport.java
+++ b/src/main/java/pewtercourse/cache/HttpTransport.java
@@ -62,7 +62,11 @@
                     .compose(out -> {
                         headers(out, r, timeoutMs);
                         return body ? out.send(r.body()) : out.send();
-                    }).compose(in -> in.body().map(b -> decode(in, b)));
+                    }).compose(in -> in.body().map(b -> {
+                        // Said to be the last: one more request on it would be cut off, and might have run.
+                        open &= !"close".equalsIgnoreCase(in.getHeader("Connection"));
+                        return decode(in, b);
+                    }));
         }
 
         private static void headers(HttpClientRequest out, CacheRequest r, long timeoutMs) {
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -23,6 +23,15 @@
     private static final int PARAMS_MOST = 16_384, BODY_MOST = 1 << 20;
     // Reading stops while this much is waiting to be written: a client that doesn't read gets no more work done.
     private static final int PENDING_PAUSE = 1 << 20;
+    // What the library holds for one connection: 341 clients that don't read must fit into the direct memory.
+    private static final int WRITE_QUEUE = 48 * 1024;
+    /** Answers that wait for slow readers, on all connections: past this the one that waits is closed. */
+    static final long BACKLOG_MOST = 24 << 20;
+
+    /** Bytes that wait to be written, on all connections of a server. */
+    static final class Backlog {
+        long bytes;
+    }
 
     private static final class Incoming {
         final Buffer params = Buffer.buffer();
@@ -34,17 +43,19 @@
     private final NetSocket socket;
     private final RequestHandler handler;
     private final LongSupplier clock;
+    private final Backlog backlog;
     private final RecordReader reader = new RecordReader();
     private final Map<Integer, Incoming> open = new HashMap<>();
     private final Deque<Buffer> pending = new ArrayDeque<>();
     private long pendingBytes;
     private boolean closed, closeWhenWritten, paused;
 
-    FastCgiConnection(NetSocket socket, RequestHandler handler, LongSupplier clock) {
+    FastCgiConnection(NetSocket socket, RequestHandler handler, LongSupplier clock, Backlog backlog) {
         this.socket = socket;
         this.handler = handler;
         this.clock = clock;
-        socket.setWriteQueueMaxSize(128 * 1024);
+        this.backlog = backlog;
+        socket.setWriteQueueMaxSize(WRITE_QUEUE);
         socket.handler(this::read);
         socket.drainHandler(v -> pump());
         socket.exceptionHandler(e -> Log.info("front.connection_error", "error", e));
@@ -181,7 +192,12 @@
 
     private void queue(Buffer b) {
         pending.add(b);
-        pendingBytes += b.length();
+        count(b.length());
+    }
+
+    private void count(long bytes) {
+        pendingBytes += bytes;
+        backlog.bytes += bytes;
     }
 
     private void write(Buffer b) {
@@ -192,12 +208,17 @@
     private void pump() {
         while (!closed && !pending.isEmpty() && !socket.writeQueueFull()) {
             Buffer b = pending.poll();
-            pendingBytes -= b.length();
+            count(-b.length());
             socket.write(b);
         }
         if (closed) {
             return;
         }
+        if (pendingBytes > 0 && backlog.bytes > BACKLOG_MOST) {
+            Log.warn("front.slow_reader", "from", socket.remoteAddress(), "waiting", pendingBytes);
+            close();
+            return;
+        }
         if (paused != pendingBytes > PENDING_PAUSE) {
             paused = !paused;
             if (paused) {
@@ -222,6 +243,7 @@
         }
         closed = true;
         pending.clear();
+        count(-pendingBytes);
         for (Incoming in : open.values()) {
             if (in.gone != null) {
                 in.gone.run();
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
@@ -16,7 +16,8 @@
     public FastCgiServer(Vertx vertx, RequestHandler handler, LongSupplier clock) {
         server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(512)
                 .setReuseAddress(true));
-        server.connectHandler(socket -> new FastCgiConnection(socket, handler, clock));
+        FastCgiConnection.Backlog backlog = new FastCgiConnection.Backlog();
+        server.connectHandler(socket -> new FastCgiConnection(socket, handler, clock, backlog));
         server.exceptionHandler(e -> Log.warn("front.accept_error", "error", e));
     }
 
--- a/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
+++ b/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -45,6 +46,7 @@
         final Map<String, Integer> ids = new HashMap<>();
         final List<Consumer<Answer>> aborted = new ArrayList<>();
         final RecordReader written = new RecordReader();
+        final FastCgiConnection.Backlog backlog = new FastCgiConnection.Backlog();
         final Map<Integer, Buffer> answers = new HashMap<>();
         int gone, abortedOpen, serial;
         boolean full, closed, paused;
@@ -72,7 +74,7 @@
                 assertTrue(expected.get(id).equals(r.body()), "another body");
                 assertNull(handed.put(id, answer), "handed on twice");
                 return () -> gone++;
-            }, () -> 1000);
+            }, () -> 1000, backlog);
         }
 
         private static Object set(Runnable r, Object then) {
@@ -205,6 +207,20 @@
         }
     }
 
+    @Example
+    void aClientThatNeverReadsIsClosedBeforeItFillsTheMemory() {
+        Model m = new Model();
+        m.reads(false);
+        for (int i = 0; i < 200 && !m.closed; i++) {
+            m.begin(1);
+            m.body(1, 0);
+            m.answer(1, 240_000);
+            assertTrue(m.backlog.bytes <= FastCgiConnection.BACKLOG_MOST);
+        }
+        assertTrue(m.closed && m.paused);
+        assertEquals(0, m.backlog.bytes);
+    }
+
     @Provide
     Arbitrary<ActionChain<Model>> chains() {
         Arbitrary<Integer> id = Arbitraries.integers().between(1, IDS);
