Turn a second request under an open id away without touching the first

Seen by reading: handle() made the Exchange, and with it its backstop timer, before it looked whether the id was taken; the twin was answered as failed, but its timer later told the module that the client of the open request had gone. Faulty lines: Director.handle(), new Exchange before putIfAbsent. The new test loses the first answer without the change.

--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -102,12 +102,15 @@
     @Override
     public Runnable handle(ClientRequest request, Consumer<Answer> answer) {
         Integer cls = site.classes().get(request.className());
-        Exchange x = cls == null ? null : new Exchange(this, request, cls, answer);
-        if (x == null || exchanges.putIfAbsent(x.id, x) != null) {
+        // Looked up before the exchange is made: one that is turned away must leave no timer behind, which would
+        // end the request that holds the id.
+        if (cls == null || exchanges.containsKey(Exchange.id(request))) {
             Log.warn("request.unusable", "id", request.id(), "class", request.className());
             answer.accept(Answer.failed());
             return () -> { };
         }
+        Exchange x = new Exchange(this, request, cls, answer);
+        exchanges.put(x.id, x);
         x.arrive();
         return x::clientGone;
     }
--- a/src/main/java/pewtercourse/director/Exchange.java
+++ b/src/main/java/pewtercourse/director/Exchange.java
@@ -34,7 +34,7 @@
 
     Exchange(Director director, ClientRequest request, int cls, Consumer<Answer> answer) {
         this.director = director;
-        this.id = Long.parseUnsignedLong(request.id(), 16);
+        this.id = id(request);
         this.request = request;
         this.cls = cls;
         this.expires = request.takenAt() + (long) (request.deadlineMs() * 1000);
@@ -43,6 +43,10 @@
                 Timers.millis(expires + BACKSTOP - director.clock.getAsLong()), this::unanswered);
     }
 
+    static long id(ClientRequest request) {
+        return Long.parseUnsignedLong(request.id(), 16);
+    }
+
     // ---- It arrives: the module plans ----
     void arrive() {
         director.tell(new Router.Request(id, cls, request.object(), request.part(), request.group(),
--- a/src/test/java/pewtercourse/director/DirectorTest.java
+++ b/src/test/java/pewtercourse/director/DirectorTest.java
@@ -65,11 +65,15 @@
     }
 
     private Answer ask(String cls, String known, double deadlineMs) throws Exception {
+        return get(begin(cls, known, deadlineMs));
+    }
+
+    private CompletableFuture<Answer> begin(String cls, String known, double deadlineMs) {
         CompletableFuture<Answer> answer = new CompletableFuture<>();
         vertx.runOnContext(v -> director.handle(new ClientRequest("9b1f03aa5c7e2d41", cls, "7f3a9c21e0b4d655", 3,
                 17, 10, known, Buffer.buffer(cls.equals("place-order") ? "two couscous" : ""),
                 director.clock().getAsLong(), deadlineMs), answer::complete));
-        return get(answer);
+        return answer;
     }
 
     private static <T> T get(CompletableFuture<T> f) throws Exception {
@@ -134,6 +138,21 @@
         assertEquals(1, asked.size());
     }
 
+    @Test
+    void anIdThatIsOpenAlreadyFailsAndLeavesTheOpenRequestAlone() throws Exception {
+        CompletableFuture<HttpServerRequest> held = new CompletableFuture<>();
+        start((r, n) -> held.complete(r));
+        CompletableFuture<Answer> first = begin("place-order", null, 20_000);
+        HttpServerRequest r = get(held);
+        assertEquals(Answer.Kind.FAILED, ask("place-order", null, 1).kind());
+        // Past the twin's deadline and backstop, when a timer of its own would have ended the first.
+        CompletableFuture<Void> later = new CompletableFuture<>();
+        vertx.setTimer(100, t -> later.complete(null));
+        get(later);
+        vertx.runOnContext(v -> r.response().end("order"));
+        assertEquals("order", get(first).body().toString());
+    }
+
     @Test
     void aClassThatTheSettingsLackFails() throws Exception {
         start((r, n) -> { });
