Reread the configuration on SIGHUP and move the control feed without a gap

Checked: Main installed no handler, so the JVM ran its shutdown hook; FeedClient had one fixed address, passed over an event it couldn't read and then took the next number as good, and allowed a 4 MB line with no bound on an event.

Now config rereads and checks the whole file in the signal's thread; one that can't be used is logged with its key and changes nothing. FeedClient is split from its transport, asks the new address with the same Last-Event-ID, reads the old one until the new is up, applies each number once and in its place, and asks again for a missing or unreadable one.

--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -1,5 +1,6 @@
 package pewtercourse;
 
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
@@ -12,6 +13,7 @@
 import pewtercourse.config.DirectorConfig;
 import pewtercourse.director.Director;
 import pewtercourse.front.fastcgi.FastCgiServer;
+import sun.misc.Signal;
 
 /**
  * Command line: {@code serve} is a real director, {@code benchlink} speaks the simulator's wire on standard
@@ -89,10 +91,24 @@
             }
             Log.info("director.listening", "name", config.name(), "listen", config.listen());
         });
+        Context loop = vertx.getOrCreateContext();
+        Signal.handle(new Signal("HUP"), s -> reload(loop, director));
         Thread hook = new Thread(() -> drain(vertx, director), "drain");
         Runtime.getRuntime().addShutdownHook(hook);
     }
 
+    /** Runs on SIGHUP, in a thread of its own: a file that can't be used changes nothing. */
+    private static void reload(Context loop, Director director) {
+        try {
+            DirectorConfig to = DirectorConfig.fromEnvironment(System.getenv());
+            loop.runOnContext(v -> director.reload(to));
+        } catch (ConfigException e) {
+            Log.warn("config.kept", "key", e.getMessage());
+        } catch (RuntimeException e) {
+            Log.error("config.unexpected", e);
+        }
+    }
+
     /** Runs on SIGTERM, in a thread of its own: all that was taken is answered, then the program exits with 0. */
     private static void drain(Vertx vertx, Director director) {
         Log.info("director.stopping", "open", director.open());
--- a/src/main/java/pewtercourse/config/DirectorConfig.java
+++ b/src/main/java/pewtercourse/config/DirectorConfig.java
@@ -13,6 +13,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * What one real director is told: the GW_* variables and the JSON file that they name. This is the only place
@@ -20,9 +23,11 @@
  */
 public record DirectorConfig(String name, InetSocketAddress listen, long seed, int sockets,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress feed, JsonArray known,
-        long knownNumber, SiteSettings site) {
+        long knownNumber, SiteSettings site, JsonObject source) {
 
     private static final int DEFAULT_SOCKETS = 1024;
+    // What SIGHUP carries out at once, and what is new in each file and only counts at a start.
+    private static final Set<String> NO_RESTART = Set.of("feed", "known", "seed");
 
     public static DirectorConfig fromEnvironment(Map<String, String> env) {
         String path = required(env, "GW_CONFIG");
@@ -64,7 +69,15 @@
                 (int) number(object(json, "limits", new JsonObject()), "limits.", "sockets", DEFAULT_SOCKETS),
                 peerListen == null ? null : address("peer_listen", peerListen), peers,
                 feed == null ? null : address("feed", feed),
-                array(known, "events"), number(known, "known.", "n", 0), site);
+                array(known, "events"), number(known, "known.", "n", 0), site, json);
+    }
+
+    /** The keys of the file that differ and only a restart can carry out, in order. */
+    public List<String> changedSince(DirectorConfig old) {
+        Set<String> keys = new TreeSet<>(source.fieldNames());
+        keys.addAll(old.source.fieldNames());
+        keys.removeIf(k -> NO_RESTART.contains(k) || Objects.equals(source.getValue(k), old.source.getValue(k)));
+        return List.copyOf(keys);
     }
 
     /** Nested settings as pairs of path and value, as the simulator's wire has them. */
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,6 +19,7 @@
 import pewtercourse.decision.Router;
 import pewtercourse.feed.FeedClient;
 import pewtercourse.feed.FeedEvent;
+import pewtercourse.feed.HttpFeedTransport;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.RequestHandler;
@@ -46,6 +48,7 @@
     private final PeerSocket peers;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private List<Router.Event> events = new ArrayList<>();
+    private FeedClient feed;
     private boolean scheduled;
 
     /** Must be called on the event loop's context. */
@@ -74,13 +77,32 @@
             }
         }
         if (config.feed() != null) {
-            new FeedClient(vertx, timers, config.feed(), config.knownNumber(), this::feed).start();
+            follow(config.feed());
         }
         if (config.peerListen() != null) {
             peers.listen(config.peerListen()).onFailure(e -> Log.warn("peer.not_listening", "error", e));
         }
     }
 
+    private void follow(InetSocketAddress at) {
+        feed = new FeedClient(new HttpFeedTransport(vertx), timers, at, config.knownNumber(), this::feed);
+        feed.start();
+    }
+
+    /** A new configuration, already checked: the feed moves at once, all else needs a restart and is named. */
+    public void reload(DirectorConfig to) {
+        List<String> later = to.changedSince(config);
+        if (!later.isEmpty()) {
+            Log.warn("config.needs_restart", "keys", String.join(",", later));
+        }
+        if (to.feed() != null && feed != null) {
+            feed.move(to.feed());
+        } else if (to.feed() != null) {
+            follow(to.feed());
+        }
+        Log.info("config.reloaded", "feed", to.feed());
+    }
+
     public LongSupplier clock() {
         return clock;
     }
--- a/src/main/java/pewtercourse/feed/FeedClient.java
+++ b/src/main/java/pewtercourse/feed/FeedClient.java
@@ -1,15 +1,7 @@
 package pewtercourse.feed;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClientAgent;
-import io.vertx.core.http.HttpClientConnection;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpConnectOptions;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
-import io.vertx.core.net.SocketAddress;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import pewtercourse.Log;
@@ -17,23 +9,27 @@
 
 /**
  * Follows the control feed: reads events until the connection ends or falls silent, then calls again with the
- * number of the last one. Events already seen are passed over.
+ * number of the last one. Each event is applied once and in its place: what was seen is passed over, and where a
+ * number is missing the feed is asked again for it. When the feed moves, the old connection is read until the
+ * new one is up.
  */
 public final class FeedClient {
-    private static final long SILENCE_MS = 2_500, CONNECT_MS = 1_000, AGAIN_FIRST_MS = 50, AGAIN_MOST_MS = 500;
+    private static final long SILENCE_MS = 2_500, AGAIN_FIRST_MS = 50, AGAIN_MOST_MS = 500;
+    // An event that can't be read, or is missing, is asked for this often, then passed over: one that stays bad
+    // must not keep out all that follow.
+    private static final int ASK_AGAIN = 3;
 
-    private final HttpClientAgent client;
+    private final FeedTransport transport;
     private final Timers timers;
-    private final InetSocketAddress address;
     private final Consumer<FeedEvent> handler;
-    private long seen, silence = -1, again = AGAIN_FIRST_MS;
-    private int turn;
-    private HttpClientConnection connection;
+    private InetSocketAddress address;
+    private long seen, again = AGAIN_FIRST_MS, retry = -1;
+    private int asked;
+    private Link current, before;
 
-    public FeedClient(Vertx vertx, Timers timers, InetSocketAddress address, long seen,
+    public FeedClient(FeedTransport transport, Timers timers, InetSocketAddress address, long seen,
             Consumer<FeedEvent> handler) {
-        this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) CONNECT_MS)
-                .setTcpNoDelay(true).setIdleTimeout(0));
+        this.transport = transport;
         this.timers = timers;
         this.address = address;
         this.seen = seen;
@@ -41,71 +37,116 @@
     }
 
     public void start() {
-        int mine = ++turn;
-        watch(mine, CONNECT_MS + SILENCE_MS);
-        String host = address.getAddress().getHostAddress();
-        client.connect(new HttpConnectOptions().setServer(SocketAddress.inetSocketAddress(address)).setHost(host)
-                .setPort(address.getPort()).setSsl(false)).compose(c -> {
-                    if (mine != turn) {
-                        c.close();
-                        throw new IllegalStateException("overtaken");
-                    }
-                    connection = c;
-                    c.closeHandler(v -> restart(mine, "closed"));
-                    return c.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(host)
-                            .setPort(address.getPort()).setURI("/v1/events"));
-                }).compose(r -> r.putHeader("Accept", "text/event-stream")
-                        .putHeader("Last-Event-ID", String.valueOf(seen)).send())
-                .onSuccess(in -> follow(mine, in)).onFailure(e -> restart(mine, e.getMessage()));
+        timers.cancel(retry);
+        current = new Link();
+        current.open();
     }
 
-    private void follow(int mine, HttpClientResponse in) {
-        if (in.statusCode() != 200) {
-            restart(mine, "status " + in.statusCode());
+    /** The feed is at another address from now on; the numbers go on. */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) {
             return;
         }
+        Log.info("feed.moved", "from", address, "to", to, "seen", seen);
+        address = to;
         again = AGAIN_FIRST_MS;
-        Log.info("feed.connected", "from", seen);
-        SseReader reader = new SseReader(this::event);
-        in.handler(bytes -> {
-            if (mine == turn) {
-                watch(mine, SILENCE_MS);
+        if (before == null || before.over) {
+            before = current;
+        } else if (current != null) {
+            current.end();
+        }
+        start();
+    }
+
+    private final class Link implements FeedTransport.Listener {
+        private final SseReader reader = new SseReader(this::event);
+        private Runnable close;
+        private long silence = -1;
+        private boolean over;
+
+        void open() {
+            silence = timers.set(SILENCE_MS, () -> ended("silent"));
+            close = transport.follow(address, seen, this);
+            if (over) {
+                close.run(); // It failed before it returned.
+            }
+        }
+
+        @Override
+        public void up() {
+            if (over) {
+                return;
+            }
+            Log.info("feed.connected", "from", seen);
+            if (this == current && before != null) {
+                before.end();
+                before = null;
+            }
+        }
+
+        @Override
+        public void bytes(Buffer bytes) {
+            if (over) {
+                return;
+            }
+            timers.cancel(silence);
+            silence = timers.set(SILENCE_MS, () -> ended("silent"));
+            try {
                 reader.add(bytes);
+            } catch (IllegalStateException e) {
+                ended("unreadable: " + e.getMessage());
             }
-        });
-        in.exceptionHandler(e -> restart(mine, e.getMessage()));
-        in.endHandler(v -> restart(mine, "ended"));
-    }
+        }
 
-    private void event(String data) {
-        try {
-            FeedEvent e = FeedEvent.decode(new JsonObject(data));
-            if (e.number() > seen) {
-                seen = e.number();
-                handler.accept(e);
+        private void event(String data) {
+            if (over) {
+                return;
+            }
+            FeedEvent e;
+            try {
+                e = FeedEvent.decode(new JsonObject(data));
+            } catch (RuntimeException ex) {
+                Log.warn("feed.malformed", "event", data.length() > 200 ? data.substring(0, 200) : data, "error", ex);
+                askAgain("malformed");
+                return;
+            }
+            if (e.number() <= seen || e.number() > seen + 1 && askAgain("skipped " + (seen + 1))) {
+                return;
             }
-        } catch (RuntimeException e) {
-            Log.warn("feed.malformed", "event", data.length() > 200 ? data.substring(0, 200) : data, "error", e);
+            seen = e.number();
+            asked = 0;
+            again = AGAIN_FIRST_MS;
+            handler.accept(e);
         }
-    }
 
-    private void watch(int mine, long ms) {
-        timers.cancel(silence);
-        silence = timers.set(ms, () -> restart(mine, "silent"));
-    }
+        private boolean askAgain(String why) {
+            if (asked >= ASK_AGAIN) {
+                return false;
+            }
+            asked++;
+            ended(why);
+            return true;
+        }
 
-    private void restart(int mine, String why) {
-        if (mine != turn) {
-            return;
+        @Override
+        public void ended(String why) {
+            if (over) {
+                return;
+            }
+            end();
+            Log.warn("feed.lost", "why", why, "seen", seen);
+            if (this == current) {
+                retry = timers.set(again, FeedClient.this::start);
+                again = Math.min(AGAIN_MOST_MS, again * 2);
+            }
         }
-        turn++;
-        timers.cancel(silence);
-        Log.warn("feed.lost", "why", why, "seen", seen);
-        if (connection != null) {
-            connection.close();
-            connection = null;
+
+        void end() {
+            over = true;
+            timers.cancel(silence);
+            if (close != null) {
+                close.run();
+            }
         }
-        timers.set(again, this::start);
-        again = Math.min(AGAIN_MOST_MS, again * 2);
     }
 }
--- a/src/main/java/pewtercourse/feed/SseReader.java
+++ b/src/main/java/pewtercourse/feed/SseReader.java
@@ -6,16 +6,18 @@
 
 /** Cuts server-sent events out of bytes; comments only show that the connection lives. */
 final class SseReader {
-    private static final int LINE_MOST = 4 << 20;
+    // A list of caches is a few kilobytes: what never ends must not fill the memory.
+    private static final int EVENT_MOST = 1 << 20;
     private final RecordParser lines;
     private final StringBuilder data = new StringBuilder();
     private final Consumer<String> event;
 
     SseReader(Consumer<String> event) {
         this.event = event;
-        lines = RecordParser.newDelimited("\n", this::line).maxRecordSize(LINE_MOST);
+        lines = RecordParser.newDelimited("\n", this::line).maxRecordSize(EVENT_MOST);
     }
 
+    /** Throws IllegalStateException on a line or an event that is too long. */
     void add(Buffer bytes) {
         lines.handle(bytes);
     }
@@ -30,6 +32,9 @@
                 event.accept(whole);
             }
         } else if (line.startsWith("data:")) {
+            if (data.length() + line.length() > EVENT_MOST) {
+                throw new IllegalStateException("an event over " + EVENT_MOST + " bytes");
+            }
             data.append(data.isEmpty() ? "" : "\n").append(line.substring(line.startsWith("data: ") ? 6 : 5));
         }
     }
--- a/src/test/java/pewtercourse/config/DirectorConfigTest.java
+++ b/src/test/java/pewtercourse/config/DirectorConfigTest.java
@@ -67,4 +67,13 @@
         assertTrue(e.getMessage().startsWith("GW_CONFIG:"), e.getMessage());
         assertThrows(ConfigException.class, () -> DirectorConfig.fromEnvironment(Map.of()));
     }
+
+    @Test
+    void whatOnlyARestartCarriesOutIsNamed() throws Exception {
+        DirectorConfig old = DirectorConfig.read(Map.of(), example());
+        JsonObject json = example().put("feed", "127.0.0.1:2380").put("seed", "1").put("listen", "127.0.0.1:1");
+        json.getJsonObject("settings").put("Me", 1);
+        assertEquals(java.util.List.of("listen", "settings"),
+                DirectorConfig.read(Map.of(), json).changedSince(old));
+    }
 }
