Read caches' answers strictly and with bounds, on the library's sockets and decoder

Checked: HttpTransport took in.body() whole, so the 3 GB answer ran into the heap, and CacheAnswer took a 200 without a length as whole when its connection ended.

Now AnswerReader reads by the library's decoder: whole by length or chunks only, 240,000 bytes and 8 KB of head at most, 1xx passed over, a 304 only for the tag asked about; what lies behind an answer ends the connection, and a connection rests 10 ms, as a late second copy would be the answer to the next request.

Tests: AnswerReaderTest (random cuts; found that the decoder swallows noise behind an answer), AttemptModelTest.

--- /dev/null
+++ b/src/main/java/pewtercourse/cache/AnswerReader.java
@@ -0,0 +1,137 @@
+package pewtercourse.cache;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+
+/**
+ * Reads one answer after the other off a connection, by the library's decoder. Guards against caches, or
+ * whoever stands between, that send too little, too much or no end: an answer is whole only by its length or
+ * its chunks, never because the connection ended, and nothing is held beyond the largest object.
+ */
+final class AnswerReader {
+    static final int BODY_MOST = 240_000;
+    private static final int HEAD_MOST = 8_192, LINE_MOST = 1_024, INTERIM_MOST = 16;
+    private static final UnpooledByteBufAllocator HEAP = new UnpooledByteBufAllocator(false);
+
+    /** Tells whether bytes lay behind the end of an answer: the decoder itself keeps or skips them silently. */
+    private static final class Decoder extends HttpResponseDecoder {
+        private boolean last, behind;
+
+        Decoder() {
+            super(LINE_MOST, HEAD_MOST, BODY_MOST);
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            super.decode(ctx, in, out);
+            for (Object o : out) {
+                last = o instanceof HttpResponse r ? r.status().code() / 100 != 1 : last;
+                behind |= o instanceof LastHttpContent && last && in.isReadable();
+            }
+        }
+    }
+
+    private final Decoder answers = new Decoder();
+    private final EmbeddedChannel decoder = new EmbeddedChannel(answers);
+    private HttpResponse head;
+    private ByteBuf body;
+    private String known;
+    private int interim;
+    private boolean clean = true;
+
+    AnswerReader() {
+        decoder.config().setAllocator(HEAP);
+    }
+
+    /** The next answer belongs to a request with this tag of the client's copy, or null. */
+    void expect(String tag) {
+        known = tag;
+        head = null;
+        body = null;
+        interim = 0;
+    }
+
+    /** The answer once it is whole or can't be used any more; until then null. */
+    CacheAnswer add(Buffer bytes) {
+        CacheAnswer answer = null;
+        decoder.writeInbound(Unpooled.wrappedBuffer(bytes.getBytes()));
+        for (HttpObject o = decoder.readInbound(); o != null; o = decoder.readInbound()) {
+            if (answer == null) {
+                answer = take(o);
+            } else {
+                clean = false;
+            }
+        }
+        return answer;
+    }
+
+    /** Whether nothing came but the answers that were due, and the last one leaves the connection open. */
+    boolean clean() {
+        return clean && !answers.behind;
+    }
+
+    private CacheAnswer take(HttpObject o) {
+        if (o.decoderResult().isFailure()) {
+            return broken();
+        }
+        if (o instanceof HttpResponse r) {
+            if (!r.protocolVersion().text().startsWith("HTTP/1.")) {
+                return broken();
+            }
+            if (r.status().code() / 100 == 1) {
+                return ++interim > INTERIM_MOST ? broken() : null;
+            }
+            head = r;
+            body = HEAP.heapBuffer(1_024);
+            if (bytesOf(r) > BODY_MOST) {
+                return broken();
+            }
+        }
+        if (head != null && o instanceof HttpContent c) {
+            if (body.readableBytes() + c.content().readableBytes() > BODY_MOST) {
+                return broken();
+            }
+            body.writeBytes(c.content());
+            return o instanceof LastHttpContent ? whole() : null;
+        }
+        return null;
+    }
+
+    /** How long the body says it is; past all bounds where it doesn't say, as then its end proves nothing. */
+    private static long bytesOf(HttpResponse r) {
+        String length = r.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+        int code = r.status().code();
+        if (code == 304 || code == 204 || length == null && HttpUtil.isTransferEncodingChunked(r)) {
+            return 0;
+        }
+        return length != null && length.matches("[0-9]{1,9}") ? Long.parseLong(length) : Long.MAX_VALUE;
+    }
+
+    private CacheAnswer whole() {
+        clean &= HttpUtil.isKeepAlive(head);
+        byte[] bytes = new byte[body.readableBytes()];
+        body.readBytes(bytes);
+        CacheAnswer a = CacheAnswer.decode(head.status().code(), "1".equals(head.headers().get("Never-Ran")),
+                head.headers().get(HttpHeaderNames.CONTENT_LENGTH), Buffer.buffer(bytes),
+                head.headers().get(HttpHeaderNames.ETAG), head.headers().get("Outcome"));
+        // Nobody may be told that a copy holds that was not asked about.
+        return a.end() == End.NOT_MODIFIED && (known == null || !known.equals(a.tag())) ? broken() : a;
+    }
+
+    private CacheAnswer broken() {
+        clean = false;
+        return CacheAnswer.of(End.MALFORMED);
+    }
+}
--- a/src/main/java/pewtercourse/cache/CachePool.java
+++ b/src/main/java/pewtercourse/cache/CachePool.java
@@ -17,6 +17,12 @@
 public final class CachePool {
     private record Idle(CacheConnection connection, long since) { }
 
+    // A connection rests this long after an answer: bytes that come behind it, a second copy or noise, would else
+    // be taken for the answer to the next request.
+    private static final long SETTLE = 10_000;
+
+    private static final Deque<Idle> NONE = new ArrayDeque<>();
+
     private final Transport transport;
     private final LongSupplier clock;
     private final long idleMost;
@@ -34,10 +40,15 @@
 
     /** An idle connection that is still open, or null. */
     CacheConnection take(long cache) {
-        Deque<Idle> of = idle.get(cache);
-        while (of != null && !of.isEmpty()) {
-            Idle i = of.pollLast();
-            if (i.connection.isOpen() && clock.getAsLong() - i.since < idleMost) {
+        Deque<Idle> of = idle.getOrDefault(cache, NONE);
+        long now = clock.getAsLong();
+        for (Iterator<Idle> latestFirst = of.descendingIterator(); latestFirst.hasNext();) {
+            Idle i = latestFirst.next();
+            if (i.connection.isOpen() && now - i.since < SETTLE) {
+                continue;
+            }
+            latestFirst.remove();
+            if (i.connection.isOpen() && now - i.since < idleMost) {
                 return i.connection;
             }
             i.connection.close();
--- a/src/main/java/pewtercourse/cache/CacheRequest.java
+++ b/src/main/java/pewtercourse/cache/CacheRequest.java
@@ -9,8 +9,26 @@
 public record CacheRequest(String id, String className, String object, int part, Buffer body, String source,
         int keep, long maxAgeMs, boolean join, boolean sourceHoldsOnly, boolean renew, String known) {
 
-    String path() {
-        return "/o/" + className + '/' + object + '/' + part;
+    /** GET with a body too: caches answer 400 to any other method, whatever the client's was. */
+    Buffer encode(String host, long timeoutMs) {
+        StringBuilder head = new StringBuilder(256).append("GET /o/").append(className).append('/').append(object)
+                .append('/').append(part).append(" HTTP/1.1\r\n");
+        field(head, "Host", host);
+        field(head, "Request-Id", id);
+        field(head, "Timeout-Ms", String.valueOf(timeoutMs));
+        field(head, "X-Fill-From", source);
+        field(head, "X-Keep", keep > 0 ? String.valueOf(keep) : null);
+        field(head, "X-Max-Age-Ms", maxAgeMs > 0 ? String.valueOf(maxAgeMs) : null);
+        field(head, "X-Flags", flags().isEmpty() ? null : flags());
+        field(head, "If-None-Match", known);
+        field(head, "Content-Length", body.length() > 0 ? String.valueOf(body.length()) : null);
+        return Buffer.buffer(head.append("\r\n").toString()).appendBuffer(body);
+    }
+
+    private static void field(StringBuilder to, String name, String value) {
+        if (value != null) {
+            to.append(name).append(": ").append(value).append("\r\n");
+        }
     }
 
     String flags() {
--- a/src/test/java/pewtercourse/cache/AttemptModelTest.java
+++ b/src/test/java/pewtercourse/cache/AttemptModelTest.java
@@ -31,6 +31,7 @@
     private static final Set<End> UNSENT = EnumSet.of(End.REFUSED, End.CONNECT_TIMEOUT, End.NO_DESCRIPTOR,
             End.OVERTAKEN, End.CANCELLED_UNSENT);
     private static final int CONNECTIONS_MOST = 4;
+    private static final long IDLE_MOST = 40_000;
 
     private static final class Line implements CacheConnection {
         final long cache;
@@ -89,7 +90,7 @@
         final CachePool pool = new CachePool(to -> {
             starting.connecting = Promise.promise();
             return starting.connecting.future();
-        }, () -> now, 10_000, CONNECTIONS_MOST);
+        }, () -> now, IDLE_MOST, CONNECTIONS_MOST);
 
         Model() {
             pool.admit(0);
@@ -247,7 +248,7 @@
                 .withAction(2, step(n.map(i -> Transformer.mutate("cancel " + i, m -> m.cancel(i)))))
                 .withAction(1, step(n.map(i -> Transformer.mutate("overtaken " + i, m -> m.overtaken(i)))))
                 .withAction(1, step(n.map(i -> Transformer.mutate("replaced " + i, m -> m.replaced(i % 2)))))
-                .withAction(1, step(n.map(i -> Transformer.mutate("later", m -> m.now += 4_000))))
+                .withAction(1, step(n.map(i -> Transformer.mutate("later", m -> m.now += 6_000))))
                 .withMaxTransformations(60);
     }
 
@@ -261,12 +262,27 @@
         m.start(0);
         m.connected(0, true);
         m.answered(0, End.SERVED);
-        m.now += 10_000;
+        m.now += IDLE_MOST;
         m.start(0);
         assertFalse(m.lines.get(0).open);
         assertTrue(m.tries.get(1).connecting != null);
     }
 
+    @Example
+    void aConnectionRestsAfterAnAnswerLestWhatComesBehindItIsTakenForTheNext() {
+        Model m = new Model();
+        m.start(0);
+        m.connected(0, true);
+        m.answered(0, End.SERVED);
+        m.start(0);
+        assertTrue(m.tries.get(1).connecting != null, "used again at once");
+        m.now += 10_000 - 1_000;
+        m.tries.get(1).attempt.cancel();
+        m.now += 1_000 - 1;
+        m.start(0);
+        assertTrue(m.tries.get(2).connecting != null, "used again too soon");
+    }
+
     @Example
     void anAnswerThatIsNotWholeIsNeverServed() {
         Buffer b = Buffer.buffer("1234");
