Bound what clients may take up: connections, time to speak, bytes, log lines

Checked: FastCgiConnection had no time limit, FastCgiServer no bound on connections (1,899 clients asked once and stayed), BODY_MOST was 1 MB, figures were only checked against int, Director logged each bad request. Ruled out: caches' connections (pool stayed under its share), the module (97 ms median while it was given requests).

--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -83,7 +83,7 @@
     private static void start(Vertx vertx, DirectorConfig config) {
         Director director = new Director(vertx, config);
         director.start();
-        FastCgiServer server = new FastCgiServer(vertx, director, director.clock());
+        FastCgiServer server = new FastCgiServer(vertx, director, director.clock(), config.front());
         server.listen(SocketAddress.inetSocketAddress(config.listen())).onComplete(done -> {
             if (done.failed()) {
                 Log.warn("front.not_listening", "listen", config.listen(), "error", done.cause());
--- a/src/main/java/pewtercourse/Rehearsal.java
+++ b/src/main/java/pewtercourse/Rehearsal.java
@@ -35,9 +35,10 @@
                     .getJsonObject("members").getJsonArray("hosts");
             hosts.forEach(h -> ((JsonObject) h).put("dial", address));
             json.put("feed", address);
-            Director director = new Director(vertx, DirectorConfig.read(Map.of(), json));
+            DirectorConfig read = DirectorConfig.read(Map.of(), json);
+            Director director = new Director(vertx, read);
             director.start();
-            return new FastCgiServer(vertx, director, director.clock())
+            return new FastCgiServer(vertx, director, director.clock(), read.front())
                     .listen(SocketAddress.inetSocketAddress(0, HOST));
         }).compose(front -> FastCgiClient.ask(vertx, SocketAddress.inetSocketAddress(front.actualPort(), HOST),
                 Map.of("SCRIPT_NAME", "/ops/menu-page", "HTTP_X_CORRELATION_ID", "9b1f03aa5c7e2d41",
--- a/src/main/java/pewtercourse/cache/Attempt.java
+++ b/src/main/java/pewtercourse/cache/Attempt.java
@@ -62,7 +62,7 @@
             if (c.failed()) {
                 end(CacheAnswer.of(End.REFUSED));
             } else if (ended) {
-                pool.giveBack(cache, c.result());
+                pool.keep(cache, c.result());
             } else {
                 timers.cancel(timer);
                 connection = c.result();
@@ -74,7 +74,7 @@
     private void write() {
         long left = until - clock.getAsLong();
         if (left <= 0 || !stillRight.getAsBoolean()) {
-            pool.giveBack(cache, connection);
+            pool.keep(cache, connection);
             connection = null;
             end(CacheAnswer.of(End.OVERTAKEN));
             return;
--- a/src/main/java/pewtercourse/cache/CachePool.java
+++ b/src/main/java/pewtercourse/cache/CachePool.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import pewtercourse.Timers;
 
 /**
  * Idle connections to caches, by the cache's number: a new cache may come up at the address of one that is
@@ -17,13 +18,13 @@
 public final class CachePool {
     private record Idle(CacheConnection connection, long since) { }
 
-    // A connection rests this long after an answer: bytes that come behind it, a second copy or noise, would else
-    // be taken for the answer to the next request.
-    private static final long SETTLE = 10_000;
-
-    private static final Deque<Idle> NONE = new ArrayDeque<>();
+    // A connection rests after an answer: bytes that come behind it, a second copy or noise, would else be taken for
+    // the answer to the next request. Two waits, since after a stall of the program the first may be over before
+    // what came meanwhile is read.
+    private static final long SETTLE_MS = 8, SETTLE_AGAIN_MS = 2;
 
     private final Transport transport;
+    private final Timers timers;
     private final LongSupplier clock;
     private final long idleMost;
     private final int connectionsMost;
@@ -31,8 +32,9 @@
     private int connections;
 
     /** {@code idleMost}: microseconds after which an idle connection isn't used again. */
-    public CachePool(Transport transport, LongSupplier clock, long idleMost, int connectionsMost) {
+    public CachePool(Transport transport, Timers timers, LongSupplier clock, long idleMost, int connectionsMost) {
         this.transport = transport;
+        this.timers = timers;
         this.clock = clock;
         this.idleMost = idleMost;
         this.connectionsMost = connectionsMost;
@@ -40,15 +42,10 @@
 
     /** An idle connection that is still open, or null. */
     CacheConnection take(long cache) {
-        Deque<Idle> of = idle.getOrDefault(cache, NONE);
-        long now = clock.getAsLong();
-        for (Iterator<Idle> latestFirst = of.descendingIterator(); latestFirst.hasNext();) {
-            Idle i = latestFirst.next();
-            if (i.connection.isOpen() && now - i.since < SETTLE) {
-                continue;
-            }
-            latestFirst.remove();
-            if (i.connection.isOpen() && now - i.since < idleMost) {
+        Deque<Idle> of = idle.get(cache);
+        while (of != null && !of.isEmpty()) {
+            Idle i = of.pollLast();
+            if (i.connection.isOpen() && clock.getAsLong() - i.since < idleMost) {
                 return i.connection;
             }
             i.connection.close();
@@ -71,7 +68,17 @@
         });
     }
 
+    /** After an answer: it may be used again once nothing came behind that. */
     void giveBack(long cache, CacheConnection c) {
+        if (!c.isOpen()) {
+            c.close();
+            return;
+        }
+        timers.set(SETTLE_MS, () -> timers.set(SETTLE_AGAIN_MS, () -> keep(cache, c)));
+    }
+
+    /** Nothing was asked on it since it came up, or since it was taken. */
+    void keep(long cache, CacheConnection c) {
         Deque<Idle> of = idle.get(cache);
         if (of == null || !c.isOpen()) {
             c.close();
--- a/src/main/java/pewtercourse/cache/CacheRequest.java
+++ b/src/main/java/pewtercourse/cache/CacheRequest.java
@@ -9,10 +9,13 @@
 public record CacheRequest(String id, String className, String object, int part, Buffer body, String source,
         int keep, long maxAgeMs, boolean join, boolean sourceHoldsOnly, boolean renew, String known) {
 
+    String path() {
+        return "/o/" + className + '/' + object + '/' + part;
+    }
+
     /** GET with a body too: caches answer 400 to any other method, whatever the client's was. */
     Buffer encode(String host, long timeoutMs) {
-        StringBuilder head = new StringBuilder(256).append("GET /o/").append(className).append('/').append(object)
-                .append('/').append(part).append(" HTTP/1.1\r\n");
+        StringBuilder head = new StringBuilder(256).append("GET ").append(path()).append(" HTTP/1.1\r\n");
         field(head, "Host", host);
         field(head, "Request-Id", id);
         field(head, "Timeout-Ms", String.valueOf(timeoutMs));
--- a/src/main/java/pewtercourse/config/DirectorConfig.java
+++ b/src/main/java/pewtercourse/config/DirectorConfig.java
@@ -16,16 +16,17 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import pewtercourse.front.FrontLimits;
 
 /**
  * What one real director is told: the GW_* variables and the JSON file that they name. This is the only place
  * where they are read, checked and given defaults.
  */
-public record DirectorConfig(String name, InetSocketAddress listen, long seed, int sockets,
+public record DirectorConfig(String name, InetSocketAddress listen, long seed, int sockets, int memoryMb,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress feed, JsonArray known,
         long knownNumber, SiteSettings site, JsonObject source) {
 
-    private static final int DEFAULT_SOCKETS = 1024;
+    private static final int DEFAULT_SOCKETS = 1024, DEFAULT_MEMORY = 192;
     // What SIGHUP carries out at once, and what is new in each file and only counts at a start.
     private static final Set<String> NO_RESTART = Set.of("feed", "known", "seed");
 
@@ -65,13 +66,31 @@
         if (site.classes().isEmpty()) {
             throw new ConfigException("settings.Classes", "no class of requests");
         }
+        JsonObject limits = object(json, "limits", new JsonObject());
         return new DirectorConfig(name, address("GW_LISTEN", listen), seed(string(json, "seed", "0")),
-                (int) number(object(json, "limits", new JsonObject()), "limits.", "sockets", DEFAULT_SOCKETS),
+                (int) number(limits, "limits.", "sockets", DEFAULT_SOCKETS),
+                (int) number(limits, "limits.", "memory_mb", DEFAULT_MEMORY),
                 peerListen == null ? null : address("peer_listen", peerListen), peers,
                 feed == null ? null : address("feed", feed),
                 array(known, "events"), number(known, "known.", "n", 0), site, json);
     }
 
+    // The program itself holds about 15 descriptors; a burst of connections is accepted 16 at a time, before one
+    // that is too many is ended, and what is closed lingers for a turn of the loop.
+    private int otherDescriptors() {
+        return 24 + sockets / 16;
+    }
+
+    /** Clients hold at most a third of the descriptors; a few more are for those that only get in the way. */
+    public FrontLimits front() {
+        return new FrontLimits(Math.max(8, sockets / 3 + 8), (long) memoryMb << 16, (long) memoryMb << 17);
+    }
+
+    /** Connections to caches, idle or at work. */
+    public int cacheConnections() {
+        return Math.max(16, sockets - front().connections() - otherDescriptors());
+    }
+
     /** The keys of the file that differ and only a restart can carry out, in order. */
     public List<String> changedSince(DirectorConfig old) {
         Set<String> keys = new TreeSet<>(source.fieldNames());
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -30,8 +30,6 @@
  * each turn of the event loop, and carries out what it orders. All runs on one event loop.
  */
 public final class Director implements RequestHandler {
-    // Descriptors kept for the listener, the feed, the peers, the selector and the files of the program.
-    private static final int OTHER_DESCRIPTORS = 64;
     // An idle connection is not used in the last part of the time after which a cache closes it.
     private static final double IDLE_SHARE = 0.8;
 
@@ -58,9 +56,8 @@
         this.config = config;
         this.site = config.site();
         this.timers = Timers.of(vertx);
-        int connections = Math.max(16, config.sockets() - config.sockets() / 3 - OTHER_DESCRIPTORS);
         this.pool = new CachePool(new HttpTransport(vertx, (int) Timers.millis(site.connectTimeout()) + 100),
-                clock, (long) (IDLE_SHARE * site.idleClose()), connections);
+                timers, clock, (long) (IDLE_SHARE * site.idleClose()), config.cacheConnections());
         this.roster = new Roster(site, pool);
         this.router = new Logic(site.router(), config.seed());
         this.peers = new PeerSocket(vertx, config.peers(), (from, bytes) ->
@@ -127,7 +124,7 @@
         // Looked up before the exchange is made: one that is turned away must leave no timer behind, which would
         // end the request that holds the id.
         if (cls == null || exchanges.containsKey(Exchange.id(request))) {
-            Log.warn("request.unusable", "id", request.id(), "class", request.className());
+            Log.counted("request.unusable", "id", request.id(), "class", cls == null ? "unknown" : request.className());
             answer.accept(Answer.failed());
             return () -> { };
         }
--- a/src/main/java/pewtercourse/front/fastcgi/CgiRequest.java
+++ b/src/main/java/pewtercourse/front/fastcgi/CgiRequest.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.util.Map;
+import java.util.regex.Pattern;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
 
@@ -9,6 +10,11 @@
 final class CgiRequest {
     private static final String PREFIX = "/ops/", HEALTH = "/alive";
 
+    // Far past what any class has; a size this large would take half a minute to send.
+    private static final double DEADLINE_MOST = 60_000, SIZE_MOST = 100_000;
+    private static final int GROUP_MOST = 255, KNOWN_MOST = 64;
+    private static final Pattern PLAIN = Pattern.compile("[0-9]+(\\.[0-9]+)?");
+
     private CgiRequest() { }
 
     static boolean isHealthCheck(Map<String, String> params) {
@@ -19,41 +25,64 @@
             throws MalformedRecordException {
         String script = params.getOrDefault("SCRIPT_NAME", "");
         if (!script.startsWith(PREFIX) || script.length() == PREFIX.length()) {
-            throw new MalformedRecordException("SCRIPT_NAME '" + script + "' names no class");
+            throw new MalformedRecordException("SCRIPT_NAME names no class");
         }
-        double left = number(params, "HTTP_X_DEADLINE_MS", -1);
+        double left = number(params, "HTTP_X_DEADLINE_MS", DEADLINE_MOST, -1);
         if (left < 0) {
             throw new MalformedRecordException("HTTP_X_DEADLINE_MS is missing");
         }
         return new ClientRequest(hex(params, "HTTP_X_CORRELATION_ID"), script.substring(PREFIX.length()),
-                hex(params, "HTTP_X_SUBJECT"), (int) number(params, "HTTP_X_CHUNK", 0),
-                (int) number(params, "HTTP_X_TAG", 0), number(params, "HTTP_X_NEED_KB", 0),
-                params.get("HTTP_X_KNOWN"), body, now, left);
+                hex(params, "HTTP_X_SUBJECT"), whole(params, "HTTP_X_CHUNK", Integer.MAX_VALUE),
+                whole(params, "HTTP_X_TAG", GROUP_MOST), number(params, "HTTP_X_NEED_KB", SIZE_MOST, 0),
+                known(params.get("HTTP_X_KNOWN")), body, now, left);
+    }
+
+    // It goes on into a header: what isn't a plain word could end that header and begin another.
+    private static String known(String tag) throws MalformedRecordException {
+        if (tag == null || tag.isEmpty()) {
+            return null;
+        }
+        if (tag.length() > KNOWN_MOST || !tag.chars().allMatch(c -> c > ' ' && c < 127)) {
+            throw new MalformedRecordException("HTTP_X_KNOWN is no tag");
+        }
+        return tag;
     }
 
     private static String hex(Map<String, String> params, String name) throws MalformedRecordException {
         String v = params.getOrDefault(name, "");
         if (v.length() != 16 || !v.chars().allMatch(c -> Character.digit(c, 16) >= 0 && c < 128)) {
-            throw new MalformedRecordException(name + " '" + v + "' is not 16 hex digits");
+            throw new MalformedRecordException(name + " is not 16 hex digits");
         }
         return v;
     }
 
-    private static double number(Map<String, String> params, String name, double otherwise)
+    private static int whole(Map<String, String> params, String name, int most) throws MalformedRecordException {
+        double d = number(params, name, most, 0);
+        if (d != Math.rint(d)) {
+            throw unusable(name, params.get(name));
+        }
+        return (int) d;
+    }
+
+    private static double number(Map<String, String> params, String name, double most, double otherwise)
             throws MalformedRecordException {
         String v = params.get(name);
         if (v == null || v.isEmpty()) {
             return otherwise;
         }
-        try {
+        // Plain digits only: the language's own parser would also take signs, exponents, hex and NaN.
+        if (v.length() <= 24 && PLAIN.matcher(v).matches()) {
             double d = Double.parseDouble(v);
-            if (d >= 0 && d <= Integer.MAX_VALUE) {
+            if (d <= most) {
                 return d;
             }
-        } catch (NumberFormatException e) {
-            // told below
         }
-        throw new MalformedRecordException(name + " '" + v + "' is not a number that can be used");
+        throw unusable(name, v);
+    }
+
+    private static MalformedRecordException unusable(String name, String v) {
+        return new MalformedRecordException(name + " '" + (v.length() <= 40 ? v : v.substring(0, 40) + "...")
+                + "' is not a number that can be used");
     }
 
     static Buffer encode(Answer a) {
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import pewtercourse.Log;
+import pewtercourse.Timers;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.RequestHandler;
@@ -20,46 +21,102 @@
  */
 final class FastCgiConnection {
     static final int OPEN_MOST = 32;
-    private static final int PARAMS_MOST = 16_384, BODY_MOST = 1 << 20;
+    private static final int PARAMS_MOST = 16_384, BODY_MOST = 48_000;
     // Reading stops while this much is waiting to be written: a client that doesn't read gets no more work done.
     private static final int PENDING_PAUSE = 1 << 20;
     // What the library holds for one connection: 341 clients that don't read must fit into the direct memory.
     private static final int WRITE_QUEUE = 48 * 1024;
-    /** Answers that wait for slow readers, on all connections: past this the one that waits is closed. */
-    static final long BACKLOG_MOST = 24 << 20;
+    // From its connection on, or its first record, a request must come whole within this; the usual clients send it
+    // at once. A connection that has been of use may be idle for a second longer than they keep theirs.
+    static final long SPEAK_MS = 2_500, IDLE_MS = 5_000;
+    // After bad input a connection is not read for a while, longer each time: a client that repeats it at full
+    // speed must not take the time of the others. Its answers are not delayed.
+    static final long PENALTY_FIRST_MS = 20, PENALTY_MOST_MS = 160;
+    // Advice to clients that are turned away for lack of room.
+    private static final long HOLD_OFF_MS = 250;
 
-    /** Bytes that wait to be written, on all connections of a server. */
+    /** Answers that wait for slow readers, on all connections: past the limit the one that waits is closed. */
     static final class Backlog {
+        final long most;
         long bytes;
+
+        Backlog(long most) {
+            this.most = most;
+        }
     }
 
     private static final class Incoming {
         final Buffer params = Buffer.buffer();
         final Buffer body = Buffer.buffer();
         boolean keep, paramsEnded, handed;
+        long timer = -1;
         Runnable gone;
     }
 
     private final NetSocket socket;
     private final RequestHandler handler;
     private final LongSupplier clock;
+    private final Timers timers;
+    private final ConnectionTable table;
     private final Backlog backlog;
+    private final long since;
     private final RecordReader reader = new RecordReader();
     private final Map<Integer, Incoming> open = new HashMap<>();
     private final Deque<Buffer> pending = new ArrayDeque<>();
-    private long pendingBytes;
-    private boolean closed, closeWhenWritten, paused;
+    private ConnectionTable.State state;
+    private long pendingBytes, held, unused = -1, penalty = -1, penaltyMs;
+    private int working;
+    private boolean closed, closeWhenWritten, paused, spoke;
 
-    FastCgiConnection(NetSocket socket, RequestHandler handler, LongSupplier clock, Backlog backlog) {
+    FastCgiConnection(NetSocket socket, RequestHandler handler, LongSupplier clock, Timers timers,
+            ConnectionTable table, Backlog backlog) {
         this.socket = socket;
         this.handler = handler;
         this.clock = clock;
+        this.timers = timers;
+        this.table = table;
         this.backlog = backlog;
+        this.since = clock.getAsLong();
         socket.setWriteQueueMaxSize(WRITE_QUEUE);
         socket.handler(this::read);
         socket.drainHandler(v -> pump());
-        socket.exceptionHandler(e -> Log.info("front.connection_error", "error", e));
+        socket.exceptionHandler(e -> Log.counted("front.connection_error", "error", e));
         socket.closeHandler(v -> ended());
+        move();
+    }
+
+    /** Clock time at which it was accepted. */
+    long since() {
+        return since;
+    }
+
+    @Override
+    public String toString() {
+        return String.valueOf(socket.remoteAddress());
+    }
+
+    // While nothing that came whole is open, the connection waits for its client, but not for long.
+    private void move() {
+        ConnectionTable.State to = closed ? ConnectionTable.State.ENDED : working > 0
+                ? ConnectionTable.State.WORKING : spoke ? ConnectionTable.State.IDLE : ConnectionTable.State.NEW;
+        if (to == state) {
+            return;
+        }
+        table.moved(this, state, to);
+        state = to;
+        timers.cancel(unused);
+        if (to == ConnectionTable.State.NEW || to == ConnectionTable.State.IDLE) {
+            unused = timers.set(to == ConnectionTable.State.NEW ? SPEAK_MS : IDLE_MS, this::close);
+        }
+    }
+
+    private void hold() {
+        long more = reader.pending() - held;
+        held += more;
+        if (!table.hold(more) && reader.pending() > 0 && working == 0) {
+            bad("no room for its record");
+            close();
+        }
     }
 
     private void read(Buffer bytes) {
@@ -68,8 +125,11 @@
             for (Record r = reader.next(); r != null && !closed; r = reader.next()) {
                 take(r);
             }
+            if (!closed) {
+                hold();
+            }
         } catch (MalformedRecordException e) {
-            Log.warn("front.malformed", "from", socket.remoteAddress(), "error", e.getMessage());
+            bad(e.getMessage());
             close();
         } catch (RuntimeException e) {
             Log.error("front.unexpected", e);
@@ -84,15 +144,13 @@
             case Record.ABORT -> abort(r.id(), in);
             case Record.PARAMS -> {
                 if (in != null && !in.paramsEnded) {
-                    in.params.appendBuffer(r.content());
                     in.paramsEnded = r.content().length() == 0;
-                    limit(r.id(), in.params.length() > PARAMS_MOST, "PARAMS over " + PARAMS_MOST + " bytes");
+                    collect(r, in, in.params, PARAMS_MOST);
                 }
             }
             case Record.STDIN -> {
                 if (in != null && !in.handed) {
-                    in.body.appendBuffer(r.content());
-                    limit(r.id(), in.body.length() > BODY_MOST, "STDIN over " + BODY_MOST + " bytes");
+                    collect(r, in, in.body, BODY_MOST);
                     if (r.content().length() == 0 && open.get(r.id()) == in) {
                         hand(r.id(), in);
                     }
@@ -112,38 +170,89 @@
             throw new MalformedRecordException("BEGIN_REQUEST that can't be used, id " + r.id());
         }
         boolean keep = (r.content().getByte(2) & Record.KEEP_CONN) != 0;
-        if (r.content().getUnsignedShort(0) != Record.RESPONDER || open.size() >= OPEN_MOST) {
-            boolean role = r.content().getUnsignedShort(0) != Record.RESPONDER;
-            write(Record.end(r.id(), role ? Record.UNKNOWN_ROLE : Record.OVERLOADED));
+        if (r.content().getUnsignedShort(0) != Record.RESPONDER) {
+            write(Record.end(r.id(), Record.UNKNOWN_ROLE));
             closeWhenWritten |= !keep;
             return;
         }
         Incoming fresh = new Incoming();
         fresh.keep = keep;
+        if (open.size() >= OPEN_MOST) {
+            reply(r.id(), fresh, Answer.refused(HOLD_OFF_MS), Record.OVERLOADED);
+            punish();
+            return;
+        }
         open.put(r.id(), fresh);
+        long left = spoke ? SPEAK_MS : Math.max(1, SPEAK_MS - (clock.getAsLong() - since) / 1000);
+        fresh.timer = timers.set(left, () -> reject(r.id(), fresh, "not whole in time"));
     }
 
-    private void limit(int id, boolean over, String what) {
-        if (over) {
-            Log.warn("front.malformed", "from", socket.remoteAddress(), "id", id, "error", what);
-            answer(id, open.get(id), Answer.failed());
+    private void collect(Record r, Incoming in, Buffer into, int most) {
+        into.appendBuffer(r.content());
+        boolean room = table.hold(r.content().length());
+        if (into.length() > most) {
+            // Whatever follows would only be thrown away: it may be tens of megabytes.
+            closeWhenWritten = true;
+            reject(r.id(), in, (into == in.params ? "PARAMS" : "STDIN") + " over " + most + " bytes");
+        } else if (!room) {
+            bad("no room for its request");
+            answer(r.id(), in, Answer.refused(HOLD_OFF_MS));
         }
     }
 
+    /** Bad input: the request fails at once, and the client is read from more slowly. */
+    private void reject(int id, Incoming in, String why) {
+        bad(why);
+        answer(id, in, Answer.failed());
+    }
+
+    private void bad(String why) {
+        Log.counted("front.malformed", "from", this, "error", why);
+        punish();
+    }
+
+    private void punish() {
+        if (penalty < 0 && !closed) {
+            penaltyMs = Math.min(PENALTY_MOST_MS, Math.max(PENALTY_FIRST_MS, 2 * penaltyMs));
+            penalty = timers.set(penaltyMs, () -> {
+                penalty = -1;
+                pump();
+            });
+            pump();
+        }
+    }
+
+    /** It is out of {@code open} by now: nothing of it may stay, neither a timer nor its bytes in the count. */
+    private void release(Incoming in) {
+        timers.cancel(in.timer);
+        if (in.handed) {
+            working--;
+        } else {
+            table.hold(-in.params.length() - in.body.length());
+        }
+        spoke = true;
+    }
+
     private void abort(int id, Incoming in) {
         if (in == null) {
             return;
         }
         open.remove(id);
+        release(in);
         if (in.gone != null) {
             in.gone.run();
         }
-        write(Record.end(id, Record.REQUEST_COMPLETE));
         closeWhenWritten |= !in.keep;
+        write(Record.end(id, Record.REQUEST_COMPLETE));
+        move();
     }
 
     private void hand(int id, Incoming in) {
         in.handed = true;
+        timers.cancel(in.timer);
+        table.hold(-in.params.length() - in.body.length());
+        working++;
+        move();
         try {
             Map<String, String> params = Record.pairs(in.params);
             if (CgiRequest.isHealthCheck(params)) {
@@ -153,9 +262,13 @@
             ClientRequest request = CgiRequest.decode(params, in.body, clock.getAsLong());
             Runnable gone = handler.handle(request, a -> answer(id, in, a));
             in.gone = gone;
+            if (open.get(id) != in) {
+                punish(); // Answered on the spot: it could not be used.
+            } else {
+                penaltyMs = 0;
+            }
         } catch (MalformedRecordException e) {
-            Log.warn("front.malformed", "from", socket.remoteAddress(), "id", id, "error", e.getMessage());
-            answer(id, in, Answer.failed());
+            reject(id, in, e.getMessage());
         } catch (RuntimeException e) {
             Log.error("front.unexpected", e);
             answer(id, in, Answer.failed());
@@ -168,13 +281,19 @@
             return;
         }
         open.remove(id);
+        release(in);
+        reply(id, in, answer, Record.REQUEST_COMPLETE);
+        move();
+    }
+
+    private void reply(int id, Incoming in, Answer answer, int protocolStatus) {
         Buffer out = CgiRequest.encode(answer);
         for (int at = 0; at < out.length(); at += Record.PIECE) {
             queue(Record.encode(Record.STDOUT, id, out.slice(at, Math.min(out.length(), at + Record.PIECE))));
         }
         queue(Record.encode(Record.STDOUT, id, Buffer.buffer()));
         closeWhenWritten |= !in.keep;
-        write(Record.end(id, Record.REQUEST_COMPLETE));
+        write(Record.end(id, protocolStatus));
     }
 
     private static Buffer values(Buffer asked) throws MalformedRecordException {
@@ -214,12 +333,12 @@
         if (closed) {
             return;
         }
-        if (pendingBytes > 0 && backlog.bytes > BACKLOG_MOST) {
-            Log.warn("front.slow_reader", "from", socket.remoteAddress(), "waiting", pendingBytes);
+        if (pendingBytes > 0 && backlog.bytes > backlog.most) {
+            Log.counted("front.slow_reader", "from", socket.remoteAddress(), "waiting", pendingBytes);
             close();
             return;
         }
-        if (paused != pendingBytes > PENDING_PAUSE) {
+        if (paused != (pendingBytes > PENDING_PAUSE || penalty >= 0)) {
             paused = !paused;
             if (paused) {
                 socket.pause();
@@ -232,7 +351,8 @@
         }
     }
 
-    private void close() {
+    /** Ends it, whatever is open on it. */
+    void close() {
         socket.close();
         ended();
     }
@@ -244,11 +364,15 @@
         closed = true;
         pending.clear();
         count(-pendingBytes);
+        timers.cancel(penalty);
+        table.hold(-held);
         for (Incoming in : open.values()) {
+            release(in);
             if (in.gone != null) {
                 in.gone.run();
             }
         }
         open.clear();
+        move();
     }
 }
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
@@ -4,21 +4,41 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.util.function.LongSupplier;
 import pewtercourse.Log;
+import pewtercourse.Timers;
+import pewtercourse.front.FrontLimits;
 import pewtercourse.front.RequestHandler;
 
 /** Listens for the front's connections, on one address only. */
 public final class FastCgiServer {
     private final NetServer server;
+    private final Timers timers;
+    private final RequestHandler handler;
+    private final LongSupplier clock;
+    private final ConnectionTable table;
+    private final FastCgiConnection.Backlog backlog;
 
-    public FastCgiServer(Vertx vertx, RequestHandler handler, LongSupplier clock) {
+    public FastCgiServer(Vertx vertx, RequestHandler handler, LongSupplier clock, FrontLimits limits) {
+        this.timers = Timers.of(vertx);
+        this.handler = handler;
+        this.clock = clock;
+        this.table = new ConnectionTable(limits.connections(), limits.requestBytes());
+        this.backlog = new FastCgiConnection.Backlog(limits.answerBytes());
         server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(512)
                 .setReuseAddress(true));
-        FastCgiConnection.Backlog backlog = new FastCgiConnection.Backlog();
-        server.connectHandler(socket -> new FastCgiConnection(socket, handler, clock, backlog));
-        server.exceptionHandler(e -> Log.warn("front.accept_error", "error", e));
+        server.connectHandler(this::accept);
+        server.exceptionHandler(e -> Log.counted("front.accept_error", "error", e));
+    }
+
+    private void accept(NetSocket socket) {
+        if (table.admit(clock.getAsLong())) {
+            new FastCgiConnection(socket, handler, clock, timers, table, backlog);
+        } else {
+            socket.close();
+        }
     }
 
     public Future<NetServer> listen(SocketAddress at) {
--- a/src/main/java/pewtercourse/front/fastcgi/RecordReader.java
+++ b/src/main/java/pewtercourse/front/fastcgi/RecordReader.java
@@ -17,6 +17,11 @@
         at = 0;
     }
 
+    /** Bytes of a record that isn't whole yet. */
+    int pending() {
+        return rest.length() - at;
+    }
+
     /** The next whole record, or null until more bytes have come. */
     Record next() throws MalformedRecordException {
         if (rest.length() - at < Record.HEADER) {
--- a/src/main/java/pewtercourse/peer/PeerSocket.java
+++ b/src/main/java/pewtercourse/peer/PeerSocket.java
@@ -27,7 +27,7 @@
 
     public Future<DatagramSocket> listen(InetSocketAddress at) {
         socket.handler(this::take);
-        socket.exceptionHandler(e -> Log.warn("peer.error", "error", e));
+        socket.exceptionHandler(e -> Log.counted("peer.error", "error", e));
         return socket.listen(at.getPort(), at.getAddress().getHostAddress());
     }
 
@@ -42,7 +42,7 @@
                 return;
             }
         }
-        Log.warn("peer.stranger", "from", packet.sender());
+        Log.counted("peer.stranger", "from", packet.sender());
     }
 
     public void send(int peer, byte[] bytes) {
