Take no head for an answer that has a line which is no field; set signals before listening

At fault: the library's decoder makes a field of a line without a colon. Ruled out: late second copies, bad clients that reuse an id (caches answer those with an error). Also seen: MainTest once ended without the drain: the hook was set after the listener could tell that it is up.

Now the reader checks each line of a head for a name and a colon. Tests: AnswerReaderTest, MainTest.

--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -82,19 +82,20 @@
 
     private static void start(Vertx vertx, DirectorConfig config) {
         Director director = new Director(vertx, config);
+        // Before anybody can know that it listens: a signal that comes first would end the program at once.
+        Context loop = vertx.getOrCreateContext();
+        Signal.handle(new Signal("HUP"), s -> reload(loop, director));
+        Thread hook = new Thread(() -> drain(vertx, director), "drain");
+        Runtime.getRuntime().addShutdownHook(hook);
         director.start();
         FastCgiServer server = new FastCgiServer(vertx, director, director.clock(), config.front());
         server.listen(SocketAddress.inetSocketAddress(config.listen())).onComplete(done -> {
             if (done.failed()) {
                 Log.warn("front.not_listening", "listen", config.listen(), "error", done.cause());
-                System.exit(1);
+                Runtime.getRuntime().halt(1); // Not by the hook, which would wait for this thread.
             }
             Log.info("director.listening", "name", config.name(), "listen", config.listen());
         });
-        Context loop = vertx.getOrCreateContext();
-        Signal.handle(new Signal("HUP"), s -> reload(loop, director));
-        Thread hook = new Thread(() -> drain(vertx, director), "drain");
-        Runtime.getRuntime().addShutdownHook(hook);
     }
 
     /** Runs on SIGHUP, in a thread of its own: a file that can't be used changes nothing. */
--- a/src/main/java/pewtercourse/cache/AnswerReader.java
+++ b/src/main/java/pewtercourse/cache/AnswerReader.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
@@ -27,9 +28,13 @@
     private static final int HEAD_MOST = 8_192, LINE_MOST = 1_024, INTERIM_MOST = 16;
     private static final UnpooledByteBufAllocator HEAP = new UnpooledByteBufAllocator(false);
 
-    /** Tells whether bytes lay behind the end of an answer: the decoder itself keeps or skips them silently. */
+    /**
+     * Tells what the library's decoder passes over in silence: bytes behind the end of an answer, which it keeps
+     * or skips, and lines of a head that are no fields, from which it makes some.
+     */
     private static final class Decoder extends HttpResponseDecoder {
-        private boolean last, behind;
+        private final StringBuilder head = new StringBuilder();
+        private boolean body, last, behind, unreadable;
 
         Decoder() {
             super(LINE_MOST, HEAD_MOST, BODY_MOST);
@@ -37,11 +42,37 @@
 
         @Override
         protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            int from = in.readerIndex();
             super.decode(ctx, in, out);
+            if (!body) {
+                head.append(in.toString(from, in.readerIndex() - from, StandardCharsets.ISO_8859_1));
+            }
             for (Object o : out) {
-                last = o instanceof HttpResponse r ? r.status().code() / 100 != 1 : last;
+                if (o instanceof HttpResponse r) {
+                    unreadable |= !allFields(head);
+                    head.setLength(0);
+                    body = true;
+                    last = r.status().code() / 100 != 1;
+                }
                 behind |= o instanceof LastHttpContent && last && in.isReadable();
+                body &= !(o instanceof LastHttpContent);
+            }
+        }
+
+        // Each line after the first up to the empty one is a name of token characters and a colon.
+        private static boolean allFields(CharSequence head) {
+            String[] lines = head.toString().strip().split("\r?\n");
+            for (int i = 1; i < lines.length; i++) {
+                int at = 0;
+                while (at < lines[i].length() && lines[i].charAt(at) > ' ' && lines[i].charAt(at) < 127
+                        && "\"(),/:;<=>?@[\\]{}".indexOf(lines[i].charAt(at)) < 0) {
+                    at++;
+                }
+                if (at == 0 || at == lines[i].length() || lines[i].charAt(at) != ':') {
+                    return false;
+                }
             }
+            return true;
         }
     }
 
@@ -88,7 +119,7 @@
     }
 
     private CacheAnswer take(HttpObject o) {
-        if (o.decoderResult().isFailure()) {
+        if (o.decoderResult().isFailure() || answers.unreadable) {
             return broken();
         }
         if (o instanceof HttpResponse r) {
--- a/src/test/java/pewtercourse/cache/AnswerReaderTest.java
+++ b/src/test/java/pewtercourse/cache/AnswerReaderTest.java
@@ -71,6 +71,14 @@
         broken("\7\7noise noise\r\n\r\n");
     }
 
+    @Example
+    void aHeadWithALineThatIsNoFieldIsNoAnswer() {
+        for (String line : List.of("no colon here", "no colon: here", ": nameless", " folded", "na(me: x")) {
+            CacheAnswer a = new AnswerReaderTest().answer(OK.replace("ETag: t", "ETag: t\r\n" + line));
+            assertEquals(End.MALFORMED, a.end(), line);
+        }
+    }
+
     @Example
     void aHeadThatNeverEndsIsGivenUp() {
         broken("HTTP/1.1 200 OK\r\n" + "X-Filler: more and more\r\n".repeat(1_000));
