Blame refused fills on their parent, and errors of two caches on the request

A trace of attempts: all six caches answered full after 8 ms from 17.1 s until the list told at 19.92 s that a parent was gone; none did before or after. With notes of hits only the module hears no reason, blamed the gates of the caches and of fills, and asked the same parent again. Ruled out: CPU (0.06 of a core), descriptors, load (p50 unchanged).

Now a refused fill counts against its parent and the next try goes to another; an error counts against a cache once another one has served the request, two errors end it; an answered id fails at once. Tests: LogicTest, DirectorTest.

--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -129,6 +129,7 @@
         double work;
         final List<Try> tries = new ArrayList<>(2);
         final List<Node> failed = new ArrayList<>(2), failedSources = new ArrayList<>(2);
+        final List<Node> accused = new ArrayList<>(2); // Caches that answered with an error.
         int live, turn;
         // The member of the first attempt that may have run or may yet run.
         Node ran;
@@ -525,6 +526,7 @@
         if (end == Ending.OK) {
             t.node.pace += HEALTH_GAIN * (o.latency() / t.usual - t.node.pace);
             judge(t.node, o.latency() > aim(r) && lags(t.node, caches));
+            r.accused.forEach(n -> judge(n, n != t.node));
             gate.learn(o.latency() < WELL_INSIDE * aim(r), o.latency() > aim(r));
             earn(t.node, r);
             fillShare += t.outside ? GAIN * ((hit ? 0 : 1) - fillShare) : 0;
@@ -543,9 +545,28 @@
             return;
         }
         boolean sourceFault = o.note().compareTo(Note.SOURCE_REFUSED) >= 0 && o.note() != Note.NO_FILL_PLACE;
+        boolean pureError = end == Ending.ERROR && r.cls.effect() == Effect.PURE;
         boolean failed = end == Ending.ERROR || end == Ending.RESET || end == Ending.CONNECT_FAILED;
-        // Blame the right party: an error that tells of its source says nothing of the cache.
-        if (failed && !sourceFault) {
+        // Where notes tell of hits only, a cache that can't fill says no more than that it is full or that it
+        // failed. Guards against a parent that is gone, before the list tells of it, closing all gates: fills
+        // refused from one parent, one after the other, are its fault. Harm: crowded caches may cost a parent
+        // a second.
+        boolean unfilled = set.notes() != Notes.ALL && t.outside && t.source.is.role() == Role.PARENT
+                && (end == Ending.FULL || end == Ending.ERROR);
+        if (unfilled) {
+            r.failedSources.add(t.source);
+            if (end == Ending.FULL) {
+                judge(t.source, true);
+            }
+        }
+        // Blame the right party: an error that tells of its source says nothing of the cache, and one that
+        // another cache gives too may be the request's own fault. Guards against unusable requests ejecting
+        // the healthy.
+        if (pureError && !sourceFault) {
+            if (!r.accused.contains(t.node)) {
+                r.accused.add(t.node);
+            }
+        } else if (failed && !sourceFault) {
             judge(t.node, true);
         } else if (end == Ending.TIMEOUT && !t.quiet || end == Ending.FULL) {
             gate.learn(false, true);
@@ -569,15 +590,17 @@
     }
 
     // A further attempt costs a part of their budget, unless the last one only learned who lacks the
-    // object. What no cache could be reached for is given back while its client has half of its time left:
-    // guards against a zone that is cut off holding back requests that nobody works on.
+    // object. What two caches answer with an error is not tried on: its repeats would use up the budget of
+    // the others. What no cache could be reached for is given back while its client has half of its time
+    // left: guards against a zone that is cut off holding back requests that nobody works on.
     private void again(Open r, Try t, Outcome o) {
         boolean only = o.ending() == Ending.MISS || t.sibling && o.ending() == Ending.FULL;
         if (r.live > 0) {
             return;
         }
         boolean heldBack = !r.reached && now + (now - t.at) > r.arrived + (r.asks.expires() - r.arrived) / 2;
-        if (heldBack || !only && retries < 1 || t.source == t.node && !fills.open(large(r))) {
+        boolean unusable = r.accused.size() > 1;
+        if (heldBack || unusable || !only && retries < 1 || t.source == t.node && !fills.open(large(r))) {
             giveUp(r);
         } else {
             retries -= only ? 0 : 1;
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -4,9 +4,12 @@
 import io.vertx.core.Vertx;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import pewtercourse.Log;
@@ -34,6 +37,9 @@
     // An idle connection is not used in the last part of the time after which a cache closes it.
     private static final double IDLE_SHARE = 0.8;
 
+    // An id is new with every request, so one that was answered before is no usual client's.
+    private static final int ANSWERED_MOST = 4_096;
+
     final SiteSettings site;
     final LongSupplier clock = new UnixClock();
     final Timers timers;
@@ -46,6 +52,14 @@
     private final Router router;
     private final PeerSocket peers;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
+    private final Set<Long> answered = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > ANSWERED_MOST;
+        }
+    });
     private List<Router.Event> events = new ArrayList<>();
     private FeedClient feed;
     private boolean scheduled, stopped;
@@ -127,7 +141,7 @@
         Integer cls = site.classes().get(request.className());
         // Looked up before the exchange is made: one that is turned away must leave no timer behind, which would
         // end the request that holds the id.
-        if (cls == null || exchanges.containsKey(Exchange.id(request))) {
+        if (cls == null || exchanges.containsKey(Exchange.id(request)) || answered.contains(Exchange.id(request))) {
             Log.counted("request.unusable", "id", request.id(), "class", cls == null ? "unknown" : request.className());
             answer.accept(Answer.failed());
             return () -> { };
@@ -144,6 +158,10 @@
         peers.close();
     }
 
+    void answered(Exchange x) {
+        answered.add(x.id);
+    }
+
     void forget(Exchange x) {
         exchanges.remove(x.id, x);
     }
--- a/src/main/java/pewtercourse/director/Exchange.java
+++ b/src/main/java/pewtercourse/director/Exchange.java
@@ -163,6 +163,7 @@
                 Log.info("request.answered", "id", request.id(), "class", request.className(), "kind", a.kind(),
                         "attempts", attempts, "ms", (director.clock.getAsLong() - request.takenAt()) / 1000);
             }
+            director.answered(this);
             answer.accept(a);
         }
     }
--- a/src/test/java/pewtercourse/decision/Bench.java
+++ b/src/test/java/pewtercourse/decision/Bench.java
@@ -27,6 +27,7 @@
     boolean mayPassBy;
     boolean weightsTold = true;
     boolean pushed = true;
+    Router.Notes notes = Router.Notes.ALL;
     double linkKbPerS;
     int routers = 2;
     int[] seats;
@@ -41,7 +42,7 @@
         Router.Settings s = new Router.Settings(me, routers, 0,
                 seats != null ? seats : new int[] {routers}, new Router.RequestClass[] {c},
                 5000, linkKbPerS, true, mayPassBy, mayTell, parallel, true, 2000 * MS, 8, pushed, weightsTold,
-                Router.Siblings.OWN_ZONE, Router.Notes.ALL, new Router.ColdRule(0.2, 18_000 * MS, 3),
+                Router.Siblings.OWN_ZONE, notes, new Router.ColdRule(0.2, 18_000 * MS, 3),
                 new Router.ColdRule(0.06, 20_000 * MS, 2), 1500 * MS, 6000 * MS);
         logic = new Logic(s, 7);
         feed(new Router.Listed(Router.ListKind.REMEMBERED, List.of(members)));
--- a/src/test/java/pewtercourse/decision/LogicTest.java
+++ b/src/test/java/pewtercourse/decision/LogicTest.java
@@ -206,6 +206,47 @@
         assertTrue(next.source() == 11 || next.source() == 12);
     }
 
+    @Test
+    void aParentWhoseFillsAreAllRefusedIsLeftBeforeTheListTellsOfIt() {
+        Bench b = new Bench();
+        b.notes = Router.Notes.HITS;
+        b.start(Bench.all());
+        int toIll = 0;
+        for (int i = 0; i < 60; i++) {
+            b.now += 5 * MS;
+            Send s = b.sent("o" + i);
+            if (s.source() == 11) {
+                toIll++;
+                Send next = send(b.end(s, 0, Ending.FULL, Note.NONE));
+                assertNotEquals(11, next.source(), "the same parent again");
+                b.end(next, 1, Ending.OK, Note.FILLED);
+            } else {
+                b.ok(s, Note.FILLED);
+            }
+        }
+        assertTrue(toIll <= 6, "asked " + toIll + " times");
+    }
+
+    @Test
+    void aRequestThatTwoCachesAnswerWithAnErrorIsGivenBackAndEjectsNone() {
+        Bench b = new Bench().start(Bench.all());
+        for (int i = 0; i < 40; i++) {
+            Send s = b.sent("bad" + i);
+            Send next = send(b.end(s, 0, Ending.ERROR, Note.NONE));
+            assertEquals(1, all(b.end(next, 1, Ending.ERROR, Note.NONE), Router.Refuse.class).size());
+            b.ok(b.sent("good" + i), Note.FILLED);
+            b.ok(b.sent("fine" + i), Note.FILLED);
+            b.ok(b.sent("well" + i), Note.FILLED);
+        }
+        java.util.Set<Long> used = new java.util.HashSet<>();
+        for (int i = 0; i < 60; i++) {
+            Send s = b.sent("o" + i);
+            used.add(s.member());
+            b.ok(s, Note.FILLED);
+        }
+        assertEquals(java.util.Set.of(1L, 2L, 3L, 4L), used);
+    }
+
     @Test
     void partsOfAGrownObjectAreDealtOverItsCaches() {
         Bench b = new Bench();
--- a/src/test/java/pewtercourse/director/DirectorTest.java
+++ b/src/test/java/pewtercourse/director/DirectorTest.java
@@ -153,6 +153,14 @@
         assertEquals("order", get(first).body().toString());
     }
 
+    @Test
+    void anIdThatWasAnsweredIsNotServedAgain() throws Exception {
+        start((r, n) -> r.response().end("menu"));
+        assertEquals(Answer.Kind.SERVED, ask("menu-page", null, 20_000).kind());
+        assertEquals(Answer.Kind.FAILED, ask("menu-page", null, 20_000).kind());
+        assertEquals(1, asked.size());
+    }
+
     @Test
     void aClassThatTheSettingsLackFails() throws Exception {
         start((r, n) -> { });
