Plan nothing that is withdrawn before the module has seen it

Hundreds of requests that came and were withdrawn in one turn of the loop each took room in the gates until their cancelled attempt had ended a turn later. Ruled out: the budget of further attempts (hardly any refusal after a spoilt answer), CPU. Now a withdrawal takes back the arrival that still waits for the module. Test: DirectorTest.

--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -175,6 +175,17 @@
         }
     }
 
+    /** Takes back an event that has not been handed over yet; false if it is too late. */
+    boolean untell(Router.Event e) {
+        for (int i = events.size() - 1; i >= 0; i--) {
+            if (events.get(i) == e) {
+                events.remove(i);
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void decide() {
         scheduled = false;
         if (stopped) {
--- a/src/main/java/pewtercourse/director/Exchange.java
+++ b/src/main/java/pewtercourse/director/Exchange.java
@@ -26,6 +26,7 @@
     private final int cls;
     private final long expires, backstop;
     private final Consumer<Answer> answer;
+    private Router.Request arrival;
     private Attempt attempt;
     private Router.Send sent;
     private long sentAt;
@@ -49,8 +50,9 @@
 
     // ---- It arrives: the module plans ----
     void arrive() {
-        director.tell(new Router.Request(id, cls, request.object(), request.part(), request.group(),
-                request.sizeKb(), expires, false, director.site.router().classes()[cls].goesThrough()));
+        arrival = new Router.Request(id, cls, request.object(), request.part(), request.group(),
+                request.sizeKb(), expires, false, director.site.router().classes()[cls].goesThrough());
+        director.tell(arrival);
     }
 
     // ---- The module sends it to a cache ----
@@ -135,8 +137,12 @@
         if (!over) {
             over = true;
             director.timers.cancel(backstop);
-            director.tell(new Router.ClientGone(id));
-            cancel(attempts - 1);
+            // What is withdrawn before the module has planned it is never planned: hundreds of requests that come and
+            // go at once would else take up the room of the others until their attempts have ended.
+            if (!director.untell(arrival)) {
+                director.tell(new Router.ClientGone(id));
+                cancel(attempts - 1);
+            }
             leave();
         }
     }
--- a/src/test/java/pewtercourse/director/DirectorTest.java
+++ b/src/test/java/pewtercourse/director/DirectorTest.java
@@ -161,6 +161,23 @@
         assertEquals(1, asked.size());
     }
 
+    @Test
+    void whatIsWithdrawnAtOnceTakesNoRoom() throws Exception {
+        start((r, n) -> r.response().end("menu"));
+        CompletableFuture<Integer> open = new CompletableFuture<>();
+        vertx.runOnContext(v -> {
+            for (int i = 0; i < 300; i++) {
+                director.handle(new ClientRequest(String.format("%016x", 7 + i), "menu-page",
+                        String.format("%016x", i), 0, 0, 10, null, Buffer.buffer(), director.clock().getAsLong(), 3_000),
+                        a -> { }).run();
+            }
+            open.complete(director.open());
+        });
+        assertEquals(0, get(open));
+        assertEquals(Answer.Kind.SERVED, ask("menu-page", null, 20_000).kind());
+        assertEquals(1, asked.size(), "only what is still wanted: " + asked);
+    }
+
     @Test
     void aClassThatTheSettingsLackFails() throws Exception {
         start((r, n) -> { });
