Refuse clients that come while a director warms up, never by its canned answers

Seen by reading: until it was ready, a request that wasn't its own went to the rehearsing director too and could have been served with bytes that no cache made. Now it is refused with advice. Test: WarmupTest.

--- a/src/main/java/pewtercourse/Warmup.java
+++ b/src/main/java/pewtercourse/Warmup.java
@@ -29,7 +29,7 @@
  */
 final class Warmup implements RequestHandler {
     private static final int REQUESTS = 400, AT_ONCE = 4;
-    private static final long MOST_MS = 2_500;
+    private static final long MOST_MS = 2_500, HOLD_OFF_MS = 250;
 
     private final Vertx vertx;
     private final RequestHandler service;
@@ -76,12 +76,13 @@
 
     @Override
     public Runnable handle(ClientRequest request, Consumer<Answer> answer) {
-        // Its own are never let through, also when one comes late: no client sent them.
-        if (!ready) {
+        // Its own are never let through, also when one comes late: no client sent them. And none of a client's
+        // may get an answer that no cache made.
+        if (mine.contains(request.id())) {
             return director.handle(request, answer);
         }
-        if (mine.contains(request.id())) {
-            answer.accept(Answer.failed());
+        if (!ready) {
+            answer.accept(Answer.refused(HOLD_OFF_MS));
             return () -> { };
         }
         return service.handle(request, answer);
--- a/src/test/java/pewtercourse/WarmupTest.java
+++ b/src/test/java/pewtercourse/WarmupTest.java
@@ -65,6 +65,22 @@
         assertEquals(1, served.size());
     }
 
+    @Test
+    void aClientThatComesBeforeIsRefusedAndNeverGetsAnAnswerThatNoCacheMade() throws Exception {
+        DirectorConfig config = DirectorConfig.read(Map.of(),
+                new JsonObject(Files.readString(Path.of("examples/config.json"))));
+        CompletableFuture<Answer> got = new CompletableFuture<>();
+        vertx.getOrCreateContext().runOnContext(v -> {
+            Warmup w = new Warmup(vertx, config, (r, answer) -> () -> { });
+            w.run(SocketAddress.inetSocketAddress(1, "127.0.0.1"), true);
+            w.handle(new ClientRequest("9b1f03aa5c7e2d41", "menu-page", "7f3a9c21e0b4d655", 0, 0, 1, null,
+                    Buffer.buffer(), System.currentTimeMillis() * 1000, 3_000), got::complete);
+        });
+        Answer a = got.get(30, TimeUnit.SECONDS);
+        assertEquals(Answer.Kind.REFUSED, a.kind());
+        assertTrue(a.holdOffMs() > 0);
+    }
+
     @Test
     void withoutTimeItIsReadyAtOnce() throws Exception {
         DirectorConfig config = DirectorConfig.read(Map.of(),
