Survive a full table of descriptors: read what the first log line needs at the start

At fault: nothing had initialised the formatter before the descriptors ran out, in Main.serve. Ruled out: the length of the warm-up, as 1.5 s, 2.5 s and none at restarts all showed it. Test: MainTest opens more connections than the process has descriptors and asks /alive afterwards.

--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -8,6 +8,9 @@
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.SimpleFormatter;
 import pewtercourse.bench.BenchLink;
 import pewtercourse.config.ConfigException;
 import pewtercourse.config.DirectorConfig;
@@ -59,6 +62,9 @@
             System.exit(2);
             return;
         }
+        // The library warns when connections use up the descriptors. What the JVM reads from files for its first log
+        // line must be read by then: else that line fails, and the thread that accepts connections ends with it.
+        new SimpleFormatter().format(new LogRecord(Level.WARNING, "ready"));
         Vertx vertx = vertx();
         vertx.exceptionHandler(e -> Log.error("loop.unexpected", e));
         vertx.getOrCreateContext().runOnContext(v -> start(vertx, config));
--- a/src/test/java/pewtercourse/MainTest.java
+++ b/src/test/java/pewtercourse/MainTest.java
@@ -5,23 +5,34 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.json.JsonObject;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.SocketAddress;
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import pewtercourse.front.fastcgi.FastCgiClient;
 
 /** The program as the platform runs it: a process that is told things by signals. */
 class MainTest {
     // An address of its own, so that no other program takes the port between the look and the use.
     private static final String HOST = "127.83.17.5";
 
+    private static final int DESCRIPTORS = 128;
+
     @TempDir
     Path folder;
     private Process process;
@@ -36,15 +47,17 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
             config.put("listen", HOST + ":" + free.getLocalPort());
         }
+        config.put("limits", new JsonObject().put("sockets", DESCRIPTORS));
         Files.writeString(file, config.encode());
-        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp", System.getProperty("java.class.path"), "pewtercourse.Main", "serve");
         b.environment().put("GW_CONFIG", file.toString());
         b.environment().remove("GW_LISTEN");
         process = b.redirectErrorStream(true).start();
         log = process.inputReader();
         // A line that never comes must fail the test, not hang it: reading ends with the process.
-        CompletableFuture.delayedExecutor(50, TimeUnit.SECONDS).execute(process::destroyForcibly);
+        CompletableFuture.delayedExecutor(30, TimeUnit.SECONDS).execute(process::destroyForcibly);
         heard("director.listening");
     }
 
@@ -79,6 +92,41 @@
         assertTrue(process.isAlive());
     }
 
+    @Test
+    void moreConnectionsThanDescriptorsDoNotEndTheListener() throws Exception {
+        CompletableFuture.runAsync(() -> log.lines().forEach(l -> { })); // A full pipe would stop it.
+        String[] at = config.getString("listen").split(":");
+        List<Socket> open = new ArrayList<>();
+        for (int round = 0; round < 5; round++) {
+            for (int i = 0; i < 3 * DESCRIPTORS; i++) {
+                Socket s = new Socket();
+                open.add(s);
+                try {
+                    s.connect(new InetSocketAddress(at[0], Integer.parseInt(at[1])), 200);
+                } catch (IOException e) {
+                    // The queue of the listener is full, too.
+                }
+            }
+            for (Socket s : open) {
+                s.close();
+            }
+        }
+        Vertx vertx = Vertx.vertx();
+        String answer = "";
+        // It may rest for a second before it accepts again; if it never does, the process is ended in the end.
+        while (!answer.startsWith("Status: 200") && process.isAlive()) {
+            try {
+                answer = FastCgiClient.connect(vertx, SocketAddress.inetSocketAddress(Integer.parseInt(at[1]), at[0]))
+                        .compose(c -> c.ask(Map.of("SCRIPT_NAME", "/alive"))).toCompletionStage()
+                        .toCompletableFuture().get(3, TimeUnit.SECONDS).toString();
+            } catch (Exception e) {
+                // asked again
+            }
+        }
+        vertx.close();
+        assertTrue(answer.startsWith("Status: 200"), "no longer accepts");
+    }
+
     @Test
     void onSigtermItEndsByItselfWithZero() throws Exception {
         signal("TERM");
