Count errors of fills against their parent; keep orders from members that fail

Traces of attempts (source now in the line): all caches erred alike, 404 of 664 fills at director 0 by parent ended with 500 after 58 ms and 2 of 933 by the other; retries by the other parent were served. At fault: Logic.learn, which judged a parent for refused fills only, so that half of the objects met the same parent again for 16 s, and Logic.pickParent, which sent orders there at their first and only try. Ruled out: caches (no difference between them), garbled answers (2 of 664), the directors' list (the parent never left it).

Now an error of a fill counts against its parent once another way served the request, or at once for an order, if another parent does better; orders are no trials and avoid members with over a tenth of failures. Test: LogicTest (fails without).

--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -72,6 +72,8 @@
     private static final double GAIN = 0.1, HEALTH_GAIN = 0.2;
     // Share of failures from which a member is left alone, first wait before a trial, longest wait.
     private static final double FAIL_LIMIT = 0.45;
+    // Share of failures from which a member gets no request that can't be made twice, if another fails less.
+    private static final double FAIL_SEEN = 0.1;
     private static final long WAIT_FIRST = 1_000_000, WAIT_MAX = 8_000_000;
     // Further attempts earn from first ones at this rate, up to this many; they don't feed an overload.
     private static final double RETRY_SHARE = 0.2, RETRY_MAX = 20;
@@ -130,6 +132,7 @@
         final List<Try> tries = new ArrayList<>(2);
         final List<Node> failed = new ArrayList<>(2), failedSources = new ArrayList<>(2);
         final List<Node> accused = new ArrayList<>(2); // Caches that answered with an error.
+        final List<Node> doubted = new ArrayList<>(2); // The parents that these filled from.
         int live, turn;
         // The member of the first attempt that may have run or may yet run.
         Node ran;
@@ -344,7 +347,8 @@
                     continue;
                 }
                 boolean crowded = c.gate.out > LOAD_FLOOR && c.gate.out > LOAD_BOUND * out * size(c) / total;
-                if (pass == 2 || !r.failed.contains(c) && healthy(c) && (pass == 1 || !crowded)) {
+                boolean first = !crowded && sure(r, c);
+                if (pass == 2 || !r.failed.contains(c) && healthy(c) && (pass == 1 || first)) {
                     return c;
                 }
             }
@@ -385,10 +389,10 @@
 
     private Node pickParent(Open r) {
         sort(parents, r.object);
-        for (int pass = 0; pass < 2; pass++) {
+        for (int pass = 0; pass < 3; pass++) {
             for (Node p : parents) {
                 boolean usable = healthy(p) && coldHasRoom(p, r);
-                if (usable && (pass == 1 || !r.failedSources.contains(p))) {
+                if (usable && (pass == 2 || !r.failedSources.contains(p)) && (pass > 0 || sure(r, p))) {
                     return p;
                 }
             }
@@ -396,6 +400,21 @@
         return origin;
     }
 
+    // What can't be made twice is no trial, and goes by a member that fails now and then only if all do.
+    private static boolean sure(Open r, Node n) {
+        return r.cls.effect() == Effect.PURE || n.until == 0 && n.failing < FAIL_SEEN;
+    }
+
+    // Whether a parent fails while others don't: what fails at all of them is the origin's fault.
+    private boolean failsAlone(Node parent) {
+        for (Node p : parents) {
+            if (p != parent && p.until == 0 && p.failing < FAIL_LIMIT / 2) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     // ---- Sending ----
     private void advance(Open r) {
         if (r.over || r.streaming) {
@@ -527,6 +546,7 @@
             t.node.pace += HEALTH_GAIN * (o.latency() / t.usual - t.node.pace);
             judge(t.node, o.latency() > aim(r) && lags(t.node, caches));
             r.accused.forEach(n -> judge(n, n != t.node));
+            r.doubted.forEach(n -> judge(n, n != t.source && failsAlone(n)));
             gate.learn(o.latency() < WELL_INSIDE * aim(r), o.latency() > aim(r));
             earn(t.node, r);
             fillShare += t.outside ? GAIN * ((hit ? 0 : 1) - fillShare) : 0;
@@ -550,13 +570,17 @@
         // Where notes tell of hits only, a cache that can't fill says no more than that it is full or that it
         // failed. Guards against a parent that is gone, before the list tells of it, closing all gates: fills
         // refused from one parent, one after the other, are its fault. Harm: crowded caches may cost a parent
-        // a second.
+        // a second. An error may be the parent's as well as the cache's: the parent's record counts it once
+        // the request was served by another way, and at once where it can't be tried again. Guards against
+        // one that has lost its way to the origin, which fails what it lacks and serves the rest.
         boolean unfilled = set.notes() != Notes.ALL && t.outside && t.source.is.role() == Role.PARENT
                 && (end == Ending.FULL || end == Ending.ERROR);
         if (unfilled) {
             r.failedSources.add(t.source);
-            if (end == Ending.FULL) {
+            if (end == Ending.FULL || !pureError && failsAlone(t.source)) {
                 judge(t.source, true);
+            } else if (pureError) {
+                r.doubted.add(t.source);
             }
         }
         // Blame the right party: an error that tells of its source says nothing of the cache, and one that
--- a/src/main/java/pewtercourse/director/Exchange.java
+++ b/src/main/java/pewtercourse/director/Exchange.java
@@ -108,8 +108,8 @@
         }
         if (director.tracing) {
             Log.info("attempt.ended", "id", request.id(), "number", number, "cache",
-                    Long.toHexString(s.member()), "end", a.end(), "outcome", a.outcome(), "bytes",
-                    a.body() == null ? 0 : a.body().length(), "kb", request.sizeKb(), "ms",
+                    Long.toHexString(s.member()), "source", Long.toHexString(s.source()),
+                    "end", a.end(), "outcome", a.outcome(), "bytes", a.body() == null ? 0 : a.body().length(), "kb", request.sizeKb(), "ms",
                     (director.clock.getAsLong() - sentAt) / 1000);
         }
         director.tell(outcome(number, s, a.end(), a.outcome()));
--- a/src/test/java/pewtercourse/decision/LogicTest.java
+++ b/src/test/java/pewtercourse/decision/LogicTest.java
@@ -865,6 +865,51 @@
         assertTrue(atSlow > 20, atSlow + " of 100 fills once it is well");
     }
 
+    // A parent that lost its way to the origin: three of five fills from it end with an error, all else is well.
+    private static int[] fillsWhileOneParentErrs(Router.Effect effect) {
+        Bench b = new Bench();
+        b.notes = Router.Notes.HITS;
+        b.effect = effect;
+        b.parallel = false;
+        b.start(Bench.all());
+        int[] from = new int[2];
+        for (int i = 0; i < 600; i++) {
+            b.now += 50 * MS;
+            Send s = b.sent("e" + i);
+            for (int n = 0; s != null; n++) {
+                from[i >= 100 && s.source() == 11 ? 1 : 0]++;
+                boolean fails = s.source() == 11 && i % 5 < 3;
+                List<Router.Action> then = b.end(s, n, fails ? Ending.ERROR : Ending.OK, fails ? Note.NONE : Note.FILLED);
+                s = then.isEmpty() || !(then.get(0) instanceof Send) ? null : (Send) then.get(0);
+            }
+        }
+        return from;
+    }
+
+    @Test
+    void aParentThatErrsWhereOthersServeLosesItsFills() {
+        int[] from = fillsWhileOneParentErrs(Router.Effect.PURE);
+        assertTrue(from[1] < 100, from[1] + " fills at the parent that errs, " + from[0] + " elsewhere");
+        int[] orders = fillsWhileOneParentErrs(Router.Effect.SIDE_EFFECT);
+        assertTrue(orders[1] < 10, orders[1] + " orders by way of the parent that errs, " + orders[0] + " elsewhere");
+    }
+
+    @Test
+    void errorsByWayOfAllParentsEjectNone() {
+        Bench b = new Bench();
+        b.notes = Router.Notes.HITS;
+        b.effect = Router.Effect.SIDE_EFFECT;
+        b.start(Bench.all());
+        Set<Long> used = new HashSet<>();
+        for (int i = 0; i < 300; i++) {
+            b.now += 50 * MS;
+            Send s = b.sent("f" + i);
+            used.add(s.source());
+            b.end(s, 0, i % 5 < 3 ? Ending.ERROR : Ending.OK, i % 5 < 3 ? Note.NONE : Note.FILLED);
+        }
+        assertEquals(Set.of(11L, 12L), used);
+    }
+
     @Test
     void aSlowZoneEjectsNone() {
         Bench b = new Bench().start(Bench.all());
