Shed large requests from the mean size on only while answers are slow

A probe at each refusal: the gates were used to 40% of their limits, paces were 0.6 of the usual time, and all that was refused so had more than twice the mean size of its class. Ruled out: cold members, health, CPU (the refusals took 0 ms).

Now a gate counts the share of slow answers (over 0.1 of the aim beyond the transfer); under 0.3 of them a request is large from four times the mean on only.

--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -53,6 +53,9 @@
     // A cache with more attempts out than this multiple of the mean for its size, and this many, is skipped.
     private static final double LOAD_BOUND = 1.5, LOAD_FLOOR = 3;
     private static final double LARGE_LEAST = 0.2; // Share of a gate that is open to a request of any size.
+    // An answer is slow that took this share of its aim beyond its transfer; a gate is strained by this share
+    // of slow ones; while it isn't, this multiple of the mean size is not yet large.
+    private static final double SLOW = 0.1, STRAIN_GAIN = 0.05, STRAINED = 0.3, LARGE_EASY = 4;
     // Attempts in flight that all seats of a zone let through at their start, and at least. A seat starts
     // with its part by the root of the seats: its share of the zone's requests varies by chance.
     private static final double GATE_START = 16, GATE_LEAST = 2;
@@ -97,12 +100,15 @@
     // makes all late. Harm: after a trouble that made answers late for another reason it needs some answers
     // to widen again.
     private final class Gate {
-        double limit = GATE_START / Math.sqrt(seats), out;
+        double limit = GATE_START / Math.sqrt(seats), out, strain; // strain: share of slow answers.
         long narrowed;
 
         // The larger a request for its class, the sooner it is shed: the room serves more of the others.
+        // Without strain only what is far larger: the gate follows its use, so that the large would be turned
+        // away for good where all goes well.
         boolean open(double size) {
-            return out < limit * Math.max(LARGE_LEAST, Math.min(1, 1 / size));
+            double large = strain > STRAINED ? 1 : LARGE_EASY;
+            return out < limit * Math.max(LARGE_LEAST, Math.min(1, large / size));
         }
 
         void learn(boolean inside, boolean late) {
@@ -547,6 +553,8 @@
             judge(t.node, o.latency() > aim(r) && lags(t.node, caches));
             r.accused.forEach(n -> judge(n, n != t.node));
             r.doubted.forEach(n -> judge(n, n != t.source && failsAlone(n)));
+            boolean slow = o.latency() - r.work > SLOW * aim(r);
+            gate.strain += STRAIN_GAIN * ((slow ? 1 : 0) - gate.strain);
             gate.learn(o.latency() < WELL_INSIDE * aim(r), o.latency() > aim(r));
             earn(t.node, r);
             fillShare += t.outside ? GAIN * ((hit ? 0 : 1) - fillShare) : 0;
