End the warm-up at the first sign of a fleet at work: a peer's message or a client's request

Its logs: the restarted directors warmed up (seq still 0, so the list said that the fleet starts) until the 6 s were over.

Now a message of another director or a request that is not its own ends the warm-up. Test: WarmupTest (does not compile without).

--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -95,6 +95,7 @@
         Runtime.getRuntime().addShutdownHook(hook);
         director.start();
         Warmup warmup = new Warmup(vertx, config, director);
+        director.onPeerHeard(warmup::missed);
         SocketAddress at = SocketAddress.inetSocketAddress(config.listen());
         new FastCgiServer(vertx, warmup, director.clock(), config.front()).listen(at)
                 .compose(v -> warmup.run(at, config.startsWithFleet())).onComplete(done -> {
--- a/src/main/java/pewtercourse/Warmup.java
+++ b/src/main/java/pewtercourse/Warmup.java
@@ -57,6 +57,14 @@
                 new CannedTransport(vertx));
     }
 
+    /**
+     * Somebody is at work already: this is no start of the fleet, whatever the list says, and each moment more costs
+     * what is sent here in vain. Guards against a restart into a fleet whose list has not changed since its start.
+     */
+    void missed() {
+        done.tryComplete();
+    }
+
     /** Completes when it is done, in no more than 6 s, or at once if there is no time to; never fails. */
     Future<Void> run(SocketAddress front, boolean time) {
         if (!time) {
@@ -84,6 +92,7 @@
             return director.handle(request, answer);
         }
         if (!ready) {
+            missed();
             answer.accept(Answer.refused(HOLD_OFF_MS));
             return () -> { };
         }
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -62,6 +62,7 @@
     });
     private List<Router.Event> events = new ArrayList<>();
     private FeedClient feed;
+    private Runnable peerHeard = () -> { };
     private boolean scheduled, stopped;
 
     /** Must be called on the event loop's context. */
@@ -78,8 +79,15 @@
         this.pool = new CachePool(transport, timers, clock, (long) (IDLE_SHARE * site.idleClose()), config.cacheConnections());
         this.roster = new Roster(site, pool);
         this.router = new Logic(site.router(), config.seed());
-        this.peers = new PeerSocket(vertx, config.peers(), (from, bytes) ->
-                tell(new Router.PeerMessage(from, bytes)));
+        this.peers = new PeerSocket(vertx, config.peers(), (from, bytes) -> {
+            peerHeard.run();
+            tell(new Router.PeerMessage(from, bytes));
+        });
+    }
+
+    /** Runs {@code then} at each message of another director: they only send any while they serve. */
+    public void onPeerHeard(Runnable then) {
+        peerHeard = then;
     }
 
     /** Takes in what is known, then follows the feed and the peers. */
--- a/src/test/java/pewtercourse/WarmupTest.java
+++ b/src/test/java/pewtercourse/WarmupTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetServer;
 import io.vertx.core.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -81,6 +82,30 @@
         assertTrue(a.holdOffMs() > 0);
     }
 
+    // No request of its own is ever answered here: only a sign that others are at work can end it.
+    @Test
+    void aRestartIntoAFleetAtWorkIsReadyAtTheFirstSignOfIt() throws Exception {
+        DirectorConfig config = DirectorConfig.read(Map.of(),
+                new JsonObject(Files.readString(Path.of("examples/config.json"))));
+        NetServer deaf = get(vertx.createNetServer().connectHandler(s -> { }).listen(0, "127.0.0.1"));
+        for (boolean byPeer : List.of(true, false)) {
+            CompletableFuture<List<Boolean>> ready = new CompletableFuture<>();
+            vertx.getOrCreateContext().runOnContext(v -> {
+                Warmup w = new Warmup(vertx, config, (r, answer) -> () -> { });
+                w.run(SocketAddress.inetSocketAddress(deaf.actualPort(), "127.0.0.1"), true);
+                boolean before = w.ready();
+                if (byPeer) {
+                    w.missed();
+                } else {
+                    w.handle(new ClientRequest("9b1f03aa5c7e2d41", "menu-page", "7f3a9c21e0b4d655", 0, 0, 1, null,
+                            Buffer.buffer(), System.currentTimeMillis() * 1000, 3_000), a -> { });
+                }
+                vertx.runOnContext(u -> ready.complete(List.of(before, w.ready())));
+            });
+            assertEquals(List.of(false, true), ready.get(30, TimeUnit.SECONDS));
+        }
+    }
+
     @Test
     void withoutTimeItIsReadyAtOnce() throws Exception {
         DirectorConfig config = DirectorConfig.read(Map.of(),
