Warm up for 2.5 s where others are at work, instead of not at all

At fault: Warmup.missed, which ended the warm-up at once. Ruled out: the new reading of answers (the other two directors refused 0.7%).

--- a/src/main/java/pewtercourse/Warmup.java
+++ b/src/main/java/pewtercourse/Warmup.java
@@ -31,7 +31,8 @@
     // By then a request takes no longer than later; fewer than 400 left most of it to the first clients. The time is
     // for a CPU that is very short: a fleet that starts has no clients yet.
     private static final int REQUESTS = 1_500, AT_ONCE = 4;
-    private static final long MOST_MS = 6_000, HOLD_OFF_MS = 250;
+    // Where others are at work already, a cold director loses more than its absence does up to the shorter time.
+    private static final long MOST_MS = 6_000, AT_WORK_MS = 2_500, HOLD_OFF_MS = 250;
 
     private final Vertx vertx;
     private final RequestHandler service;
@@ -41,10 +42,17 @@
     private final Promise<Void> done = Promise.promise();
     private final Set<String> mine = new HashSet<>(); // The ids that are out.
     private int left = REQUESTS, out;
-    private boolean ready;
+    private final long mostMs, atWorkMs;
+    private boolean ready, missed, atWorkOver;
 
     /** {@code service} takes what comes once it is ready. Must be made on the event loop. */
     Warmup(Vertx vertx, DirectorConfig config, RequestHandler service) {
+        this(vertx, config, service, MOST_MS, AT_WORK_MS);
+    }
+
+    Warmup(Vertx vertx, DirectorConfig config, RequestHandler service, long mostMs, long atWorkMs) {
+        this.mostMs = mostMs;
+        this.atWorkMs = atWorkMs;
         this.vertx = vertx;
         this.service = service;
         this.classes = new ArrayList<>(config.site().classes().keySet());
@@ -58,27 +66,37 @@
     }
 
     /**
-     * Somebody is at work already: this is no start of the fleet, whatever the list says, and each moment more costs
-     * what is sent here in vain. Guards against a restart into a fleet whose list has not changed since its start.
+     * Somebody is at work already: this is no start of the fleet, whatever the list says, and what is sent here is
+     * lost. Guards against a restart into a fleet whose list has not changed since its start taking all of the time.
      */
     void missed() {
-        done.tryComplete();
+        missed = true;
+        if (atWorkOver) {
+            done.tryComplete();
+        }
     }
 
-    /** Completes when it is done, in no more than 6 s, or at once if there is no time to; never fails. */
+    /** Completes when it is done, in no more than 6 s, 2.5 where others are at work, or at once if there is no time to; never fails. */
     Future<Void> run(SocketAddress front, boolean time) {
         if (!time) {
             ready = true;
             return Future.succeededFuture();
         }
         director.start();
-        long timer = vertx.setTimer(MOST_MS, t -> done.tryComplete());
+        long timer = vertx.setTimer(mostMs, t -> done.tryComplete());
+        long atWork = vertx.setTimer(atWorkMs, t -> {
+            atWorkOver = true;
+            if (missed) {
+                done.tryComplete();
+            }
+        });
         for (int i = 0; i < AT_ONCE; i++) {
             FastCgiClient.connect(vertx, front).onSuccess(this::ask).onFailure(done::tryFail);
         }
         return done.future().otherwiseEmpty().onComplete(v -> {
             ready = true;
             vertx.cancelTimer(timer);
+            vertx.cancelTimer(atWork);
             director.stop();
             Log.info("director.warm", "requests", REQUESTS - left - out);
         });
