--- a/src/main/java/pewtercourse/Warmup.java
+++ b/src/main/java/pewtercourse/Warmup.java
@@ -32,7 +32,7 @@
     // for a CPU that is very short: a fleet that starts has no clients yet.
     private static final int REQUESTS = 1_500, AT_ONCE = 4;
     // Where others are at work already, a cold director loses more than its absence does up to the shorter time.
-    private static final long MOST_MS = 6_000, AT_WORK_MS = 2_500, HOLD_OFF_MS = 250;
+    private static final long MOST_MS = 6_000, AT_WORK_MS = 1_200, HOLD_OFF_MS = 250;
 
     private final Vertx vertx;
     private final RequestHandler service;
@@ -76,7 +76,7 @@
         }
     }
 
-    /** Completes when it is done, in no more than 6 s, 2.5 where others are at work, or at once if there is no time to; never fails. */
+    /** Completes when it is done, in no more than 6 s, 1.2 where others are at work, or at once if there is no time to; never fails. */
     Future<Void> run(SocketAddress front, boolean time) {
         if (!time) {
             ready = true;
