--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,7 +1,27 @@
 #!/bin/sh
 # Starts one director with memory areas that fit limits.memory_mb of its configuration. Besides them the JVM needs
-# about 30 MB. exec, so that signals reach the director itself.
-mb=$(sed -n 's/.*"memory_mb" *: *\([0-9][0-9]*\).*/\1/p' "$GW_CONFIG" 2>/dev/null | head -n 1)
+# about 30 MB. One process from beginning to end: where no other program may be started, sed or a subshell would fail
+# and leave the default; exec, so that signals reach the director itself. Descriptor 0 may be the clients' socket, so
+# the file is read by another.
+mb=
+if [ -r "$GW_CONFIG" ]; then
+  set -f
+  key=
+  # Words between the marks of JSON, blanks among them: the number after the key, on its line or a later one. Split
+  # in one pass, as patterns take time by the square of a line's length.
+  blanks=$IFS
+  while [ -z "$mb" ] && { IFS= read -r line <&3 || [ -n "$line" ]; }; do
+    IFS='{}[],:"'$blanks
+    for word in $line; do
+      case $key:$word in
+        *:) ;;
+        memory_mb:[0-9]*) mb=${word%%[!0-9]*}; break ;;
+        *) key=$word ;;
+      esac
+    done
+  done 3<"$GW_CONFIG"
+  IFS=$blanks
+fi
 mb=${mb:-192}
 [ "$mb" -le 512 ] || mb=512
 heap=$((mb * 2 / 5))
