--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -4,7 +4,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
-import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -14,8 +13,6 @@
 import pewtercourse.bench.BenchLink;
 import pewtercourse.config.ConfigException;
 import pewtercourse.config.DirectorConfig;
-import pewtercourse.director.Director;
-import pewtercourse.front.fastcgi.FastCgiServer;
 import sun.misc.Signal;
 
 /**
@@ -87,31 +84,26 @@
     }
 
     private static void start(Vertx vertx, DirectorConfig config) {
-        Director director = new Director(vertx, config);
+        Service service = new Service(vertx, config);
         // Before anybody can know that it listens: a signal that comes first would end the program at once.
         Context loop = vertx.getOrCreateContext();
-        Signal.handle(new Signal("HUP"), s -> reload(loop, director));
-        Thread hook = new Thread(() -> drain(vertx, director), "drain");
+        Signal.handle(new Signal("HUP"), s -> reload(loop, service));
+        Thread hook = new Thread(() -> drain(vertx, service), "drain");
         Runtime.getRuntime().addShutdownHook(hook);
-        director.start();
-        Warmup warmup = new Warmup(vertx, config, director);
-        director.onPeerHeard(warmup::missed);
-        SocketAddress at = SocketAddress.inetSocketAddress(config.listen());
-        new FastCgiServer(vertx, warmup, director.clock(), config.front()).listen(at)
-                .compose(v -> warmup.run(at, config.startsWithFleet())).onComplete(done -> {
-                    if (done.failed()) {
-                        Log.warn("front.not_listening", "listen", config.listen(), "error", done.cause());
-                        Runtime.getRuntime().halt(1); // Not by the hook, which would wait for this thread.
-                    }
-                    Log.info("director.listening", "name", config.name(), "listen", config.listen());
-                });
+        service.start().onComplete(done -> {
+            if (done.failed()) {
+                Log.warn("director.not_started", "listen", config.listen(), "error", done.cause());
+                Runtime.getRuntime().halt(1); // Not by the hook, which would wait for this thread.
+            }
+            Log.info("director.listening", "name", config.name(), "listen", config.listen());
+        });
     }
 
     /** Runs on SIGHUP, in a thread of its own: a file that can't be used changes nothing. */
-    private static void reload(Context loop, Director director) {
+    private static void reload(Context loop, Service service) {
         try {
             DirectorConfig to = DirectorConfig.fromEnvironment(System.getenv());
-            loop.runOnContext(v -> director.reload(to));
+            loop.runOnContext(v -> service.reload(to));
         } catch (ConfigException e) {
             Log.warn("config.kept", "key", e.getMessage());
         } catch (RuntimeException e) {
@@ -120,11 +112,11 @@
     }
 
     /** Runs on SIGTERM, in a thread of its own: all that was taken is answered, then the program exits with 0. */
-    private static void drain(Vertx vertx, Director director) {
-        Log.info("director.stopping", "open", director.open());
+    private static void drain(Vertx vertx, Service service) {
+        Log.info("director.stopping", "open", service.open());
         CountDownLatch idle = new CountDownLatch(1);
         vertx.setTimer(ACCEPT_MS + READ_MS + SPARE_MS, a -> vertx.setPeriodic(POLL_MS, b -> {
-            if (director.open() == 0) {
+            if (service.open() == 0) {
                 // One more turn, so that the last answers are on their way.
                 vertx.setTimer(POLL_MS, c -> idle.countDown());
             }
@@ -134,7 +126,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        Log.info("director.stopped", "open", director.open());
+        Log.info("director.stopped", "open", service.open());
         Runtime.getRuntime().halt(0);
     }
 }
--- a/src/main/java/pewtercourse/config/DirectorConfig.java
+++ b/src/main/java/pewtercourse/config/DirectorConfig.java
@@ -23,7 +23,7 @@
  * where they are read, checked and given defaults.
  */
 public record DirectorConfig(String name, InetSocketAddress listen, long seed, int sockets, int memoryMb,
-        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress feed, JsonArray known,
+        InetSocketAddress adminListen, InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress feed, JsonArray known,
         long knownNumber, SiteSettings site, JsonObject source) {
 
     private static final int DEFAULT_SOCKETS = 1024, DEFAULT_MEMORY = 192;
@@ -50,6 +50,7 @@
         if (listen == null) {
             throw new ConfigException("GW_LISTEN", "missing, and the configuration has no 'listen'");
         }
+        String admin = env.getOrDefault("GW_ADMIN_ADDR", string(json, "admin_addr", ""));
         JsonObject known = object(json, "known", new JsonObject());
         JsonObject settings = object(json, "settings", null);
         if (settings == null) {
@@ -70,6 +71,7 @@
         return new DirectorConfig(name, address("GW_LISTEN", listen), seed(string(json, "seed", "0")),
                 (int) number(limits, "limits.", "sockets", DEFAULT_SOCKETS),
                 (int) number(limits, "limits.", "memory_mb", DEFAULT_MEMORY),
+                admin.isEmpty() ? null : address("GW_ADMIN_ADDR", admin),
                 peerListen == null ? null : address("peer_listen", peerListen), peers,
                 feed == null ? null : address("feed", feed),
                 array(known, "events"), number(known, "known.", "n", 0), site, json);
@@ -88,7 +90,7 @@
     // The program itself holds about 15 descriptors; a burst of connections is accepted 16 at a time, before one
     // that is too many is ended, and what is closed lingers for a turn of the loop.
     private int otherDescriptors() {
-        return 24 + sockets / 16;
+        return 24 + sockets / 16 + (adminListen == null ? 0 : 16);
     }
 
     /** Clients hold at most a third of the descriptors; a few more are for those that only get in the way. */
--- a/src/main/java/pewtercourse/front/fastcgi/ConnectionTable.java
+++ b/src/main/java/pewtercourse/front/fastcgi/ConnectionTable.java
@@ -2,8 +2,10 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import pewtercourse.Log;
+import pewtercourse.front.Drain;
 
 /**
  * All connections of a front, and what they hold together. Guards against clients that open hundreds and say
@@ -21,6 +23,7 @@
     private final Set<FastCgiConnection> fresh = new LinkedHashSet<>(), idle = new LinkedHashSet<>();
     private int count;
     private long held;
+    private Drain.Step draining = Drain.Step.OPEN;
 
     /** {@code most} connections, that hold at most {@code heldMost} bytes of requests which aren't whole yet. */
     ConnectionTable(int most, long heldMost) {
@@ -60,6 +63,16 @@
         }
     }
 
+    /** How kept connections are treated from now on, those that are idle at once. */
+    void drain(Drain.Step to) {
+        draining = to;
+        List.copyOf(idle).forEach(FastCgiConnection::rest);
+    }
+
+    Drain.Step draining() {
+        return draining;
+    }
+
     /** Bytes more, or fewer, of requests that aren't whole; false past the limit. */
     boolean hold(long bytes) {
         held += bytes;
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -12,6 +12,7 @@
 import pewtercourse.Timers;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
+import pewtercourse.front.Drain;
 import pewtercourse.front.RequestHandler;
 
 /**
@@ -29,6 +30,8 @@
     // From its connection on, or its first record, a request must come whole within this; the usual clients send it
     // at once. A connection that has been of use may be idle for a second longer than they keep theirs.
     static final long SPEAK_MS = 2_500, IDLE_MS = 5_000;
+    // While the director drains: so long after its answer a client has read it, and nothing of its next request is here.
+    static final long REST_MS = 30;
     // After bad input a connection is not read for a while, longer each time: a client that repeats it at full
     // speed must not take the time of the others. Its answers are not delayed.
     static final long PENALTY_FIRST_MS = 20, PENALTY_MOST_MS = 160;
@@ -64,7 +67,7 @@
     private final Map<Integer, Incoming> open = new HashMap<>();
     private final Deque<Buffer> pending = new ArrayDeque<>();
     private ConnectionTable.State state;
-    private long pendingBytes, held, unused = -1, penalty = -1, penaltyMs;
+    private long pendingBytes, held, unused = -1, penalty = -1, penaltyMs, restedOut;
     private int working;
     private boolean closed, closeWhenWritten, paused, spoke;
 
@@ -105,8 +108,31 @@
         table.moved(this, state, to);
         state = to;
         timers.cancel(unused);
-        if (to == ConnectionTable.State.NEW || to == ConnectionTable.State.IDLE) {
-            unused = timers.set(to == ConnectionTable.State.NEW ? SPEAK_MS : IDLE_MS, this::close);
+        if (to == ConnectionTable.State.NEW) {
+            unused = timers.set(SPEAK_MS, this::close);
+        } else if (to == ConnectionTable.State.IDLE) {
+            rest();
+        }
+    }
+
+    /** It is idle: how long it stays depends on how far the director's drain has gone. */
+    void rest() {
+        timers.cancel(unused);
+        restedOut = clock.getAsLong() + SPEAK_MS * 1000;
+        unused = timers.set(table.draining() == Drain.Step.OPEN ? IDLE_MS : REST_MS, this::leave);
+        if (table.draining().compareTo(Drain.Step.CLOSE_EMPTY) >= 0 && reader.pending() == 0) {
+            closeWhenWritten = true;
+            pump();
+        }
+    }
+
+    // A drain cuts off neither a request that has begun to come nor an answer that is still being read.
+    private void leave() {
+        boolean inUse = !open.isEmpty() || reader.pending() > 0 || !pending.isEmpty();
+        if (table.draining() != Drain.Step.OPEN && inUse && clock.getAsLong() < restedOut) {
+            unused = timers.set(REST_MS, this::leave);
+        } else {
+            close();
         }
     }
 
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import pewtercourse.Log;
 import pewtercourse.Timers;
+import pewtercourse.front.Drain;
 import pewtercourse.front.FrontLimits;
 import pewtercourse.front.RequestHandler;
 
@@ -20,6 +21,7 @@
     private final LongSupplier clock;
     private final ConnectionTable table;
     private final FastCgiConnection.Backlog backlog;
+    private long nextStep = -1;
 
     public FastCgiServer(Vertx vertx, RequestHandler handler, LongSupplier clock, FrontLimits limits) {
         this.timers = Timers.of(vertx);
@@ -41,6 +43,19 @@
         }
     }
 
+    /** The drain has begun or ended: kept connections go step by step. */
+    public void drain(Drain drain) {
+        timers.cancel(nextStep);
+        long now = clock.getAsLong();
+        table.drain(drain.step(now));
+        long next = drain.nextMs(now);
+        nextStep = next < 0 ? -1 : timers.set(next, () -> drain(drain));
+    }
+
+    public int connections() {
+        return table.count();
+    }
+
     public Future<Void> close() {
         return server.close();
     }
--- a/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
+++ b/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
@@ -31,6 +31,7 @@
 import pewtercourse.Timers;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
+import pewtercourse.front.Drain;
 
 /** A front connection under random steps, against a model of what each of its ids is owed. */
 class FastCgiModelTest {
@@ -55,7 +56,7 @@
         final Map<Long, Runnable> timers = new TreeMap<>();
         long now = 1000, nextTimer;
         int gone, abortedOpen, serial, writes;
-        boolean full, closed, paused;
+        boolean full, closed, paused, draining, broken;
         Handler<Buffer> input;
         Handler<Void> drain, close;
 
@@ -79,7 +80,11 @@
                             written.add((Buffer) a[0]);
                             all.appendBuffer((Buffer) a[0]);
                         }, null);
-                        case "close", "end" -> set(() -> closed = true, null);
+                        case "close", "end" -> set(() -> {
+                            assertTrue(!draining || broken || !owed.containsValue(Owed.BODY) && handed.isEmpty(),
+                                    "a drain cuts off a request: " + owed);
+                            closed = true;
+                        }, null);
                         case "setWriteQueueMaxSize", "exceptionHandler" -> p;
                         default -> null;
                     });
@@ -211,8 +216,14 @@
             }
         }
 
+        void drain(Drain.Step to) {
+            draining |= to != Drain.Step.OPEN;
+            table.drain(to);
+        }
+
         void garbage() {
             if (!closed) {
+                broken = true;
                 int open = handed.size();
                 handed.clear();
                 gone -= open;
@@ -236,8 +247,8 @@
             assertFalse(m.paused, "reads again once all is written");
             assertEquals(m.owed.values().stream().filter(o -> o == Owed.BODY).count() + 1, m.timers.size(),
                     "one wait for each request that isn't whole, and one for the connection");
-            m.close.handle(null);
         }
+        m.close.handle(null);
         assertEquals(Map.of(), m.timers, "a wait that nobody needs");
         assertEquals(0, m.table.count());
         assertEquals(0, m.table.held());
@@ -249,6 +260,43 @@
         m.timers.remove(all.get(first ? 0 : all.size() - 1)).run();
     }
 
+    @Property(tries = 300, seed = "7")
+    void aDrainClosesWhatRestsAndCutsNothingOff(@ForAll("drained") ActionChain<Model> chain) {
+        Model m = chain.run();
+        m.drain(Drain.Step.CLOSE_EMPTY);
+        if (!m.closed) {
+            m.reads(true);
+            for (int id = 1; id <= IDS; id++) {
+                m.body(id, 0);
+                m.answer(id, 50_000);
+            }
+            m.readAnswers();
+            assertTrue(m.due.values().stream().allMatch(Deque::isEmpty), "an answer was never written");
+            for (int i = 0; i < 3 && !m.closed; i++) {
+                expire(m, false);
+            }
+            assertTrue(m.closed, "empty, and still held");
+        }
+        m.close.handle(null);
+        assertEquals(Map.of(), m.timers, "a wait that nobody needs");
+        assertEquals(0, m.table.count());
+    }
+
+    @Example
+    void whatWasClosedByADrainIsNotMissedOnceItEnds() {
+        Model m = new Model();
+        m.begin(1);
+        m.body(1, 0);
+        m.drain(Drain.Step.CLOSE_RESTING);
+        m.drain(Drain.Step.OPEN);
+        m.answer(1, 10);
+        assertFalse(m.closed, "kept, as before");
+        m.drain(Drain.Step.CLOSE_RESTING);
+        assertFalse(m.closed, "its client may not have read its answer yet");
+        expire(m, true);
+        assertTrue(m.closed);
+    }
+
     @Example
     void aSilentConnectionIsEnded() {
         Model m = new Model();
@@ -398,6 +446,20 @@
                 .withMaxTransformations(60);
     }
 
+    @Provide
+    Arbitrary<ActionChain<Model>> drained() {
+        Arbitrary<Integer> id = Arbitraries.integers().between(1, IDS);
+        return ActionChain.startWith(Model::new)
+                .withAction(6, step(id.map(i -> Transformer.mutate("begin " + i, m -> m.begin(i)))))
+                .withAction(3, step(id.map(i -> Transformer.mutate("body " + i, m -> m.body(i, i * 700)))))
+                .withAction(6, step(id.map(i -> Transformer.mutate("last byte " + i, m -> m.body(i, 0)))))
+                .withAction(5, step(id.map(i -> Transformer.mutate("answer " + i, m -> m.answer(i, i * 50_000)))))
+                .withAction(3, step(id.map(i -> Transformer.mutate("reads " + i, m -> m.reads(i % 2 == 0)))))
+                .withAction(2, step(Arbitraries.of(Drain.Step.values())
+                        .map(to -> Transformer.mutate("drain " + to, m -> m.drain(to)))))
+                .withMaxTransformations(40);
+    }
+
     private static Action.Independent<Model> step(Arbitrary<Transformer<Model>> of) {
         return () -> of;
     }
