Take caches out by hand, whatever the feed says of them in between

OutByHand holds the bans, Roster joins them with the feed; RosterModelTest plays calls among feed events.

--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -67,6 +67,20 @@
         return serving;
     }
 
+    @Override
+    public boolean enterMaintenance(String target) {
+        boolean known = director.takeOut(target);
+        Log.info("operator.out", "target", known ? target : "unknown");
+        return known;
+    }
+
+    @Override
+    public boolean exitMaintenance(String target) {
+        boolean known = director.putBack(target);
+        Log.info("operator.in", "target", known ? target : "unknown");
+        return known;
+    }
+
     @Override
     public void standby() {
         Log.info("operator.standby", "open", director.open(), "connections", front.connections());
--- a/src/main/java/pewtercourse/admin/Operations.java
+++ b/src/main/java/pewtercourse/admin/Operations.java
@@ -5,6 +5,12 @@
     /** Whether this process can serve. */
     boolean canServe();
 
+    /** Takes a cache out until {@link #exitMaintenance}; false if there is none of this name. */
+    boolean enterMaintenance(String target);
+
+    /** It may serve again, however often it was taken out; false if there is none of this name. */
+    boolean exitMaintenance(String target);
+
     /** Clients are sent away until {@link #active}. Twice is as good as once. */
     void standby();
 
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -126,6 +126,23 @@
         Log.info("config.reloaded", "feed", to.feed());
     }
 
+    /** Takes a member out by hand; false if none of this name is known. */
+    public boolean takeOut(String name) {
+        return byHand(name, roster.knows(name) ? roster.takeOut(name, clock.getAsLong() / 1000) : null);
+    }
+
+    /** The end of that; false if none of this name is known. */
+    public boolean putBack(String name) {
+        return byHand(name, roster.knows(name) ? roster.putBack(name, clock.getAsLong() / 1000) : null);
+    }
+
+    private boolean byHand(String name, Router.Listed change) {
+        if (change != null) {
+            tell(change);
+        }
+        return roster.knows(name);
+    }
+
     public LongSupplier clock() {
         return clock;
     }
--- a/src/main/java/pewtercourse/director/Roster.java
+++ b/src/main/java/pewtercourse/director/Roster.java
@@ -9,11 +9,15 @@
 import pewtercourse.decision.Router;
 import pewtercourse.feed.FeedEvent;
 
-/** The caches, parents and the origin as the feed last told: their names, addresses and states. */
+/**
+ * The caches, parents and the origin as the feed last told, and who of them is out by hand. The only place where the
+ * two are joined.
+ */
 final class Roster {
     private final Map<Long, FeedEvent.Host> hosts = new HashMap<>();
     private final SiteSettings site;
     private final CachePool pool;
+    private final OutByHand out = new OutByHand();
 
     Roster(SiteSettings site, CachePool pool) {
         this.site = site;
@@ -39,17 +43,53 @@
                 hosts.put(h.id(), h);
                 pool.admit(h.id());
             }
-            members.add(site.member(h.id(), h.zone(), h.kind(), h.cell(), h.state(), h.weight(),
-                    h.startedMs() * 1000));
+            members.add(member(h));
         }
         return new Router.Listed(change.whole() ? Router.ListKind.WHOLE : Router.ListKind.CHANGES, members);
     }
 
+    // One that is out is told as draining: the rule on drains, for requests and for sources, has one path.
+    private Router.Member member(FeedEvent.Host h) {
+        Router.State state = out.isOut(h.name()) && h.state() == Router.State.READY ? Router.State.DRAINING : h.state();
+        return site.member(h.id(), h.zone(), h.kind(), h.cell(), state, h.weight(),
+                out.started(h.name(), h.startedMs()) * 1000);
+    }
+
     private void forget(long id) {
-        hosts.remove(id);
+        FeedEvent.Host h = hosts.remove(id);
+        if (h != null) {
+            out.forget(h.name());
+        }
         pool.drop(id, true);
     }
 
+    private FeedEvent.Host named(String name) {
+        return hosts.values().stream().filter(h -> h.name().equals(name)).findFirst().orElse(null);
+    }
+
+    boolean knows(String name) {
+        return named(name) != null || out.isOut(name);
+    }
+
+    /** Takes a member out; returns what the module is to be told, null if nothing changes. */
+    Router.Listed takeOut(String name, long nowMs) {
+        return out.enter(name, nowMs) ? told(named(name)) : null;
+    }
+
+    /** It may serve again: what is told is empty while it isn't listed. */
+    Router.Listed putBack(String name, long nowMs) {
+        FeedEvent.Host h = named(name);
+        return out.exit(name, h == null ? 0 : h.startedMs(), nowMs) ? told(h) : null;
+    }
+
+    // Connections to the process that ran before it was taken out, or came back, are of no use.
+    private Router.Listed told(FeedEvent.Host h) {
+        if (h != null) {
+            pool.drop(h.id(), false);
+        }
+        return new Router.Listed(Router.ListKind.CHANGES, h == null ? List.of() : List.of(member(h)));
+    }
+
     /** Null once it is gone. */
     FeedEvent.Host get(long id) {
         return hosts.get(id);
@@ -57,6 +97,6 @@
 
     boolean ready(long id) {
         FeedEvent.Host h = hosts.get(id);
-        return h != null && h.state() == Router.State.READY;
+        return h != null && h.state() == Router.State.READY && !out.isOut(h.name());
     }
 }
--- a/src/test/java/pewtercourse/admin/AdminServerTest.java
+++ b/src/test/java/pewtercourse/admin/AdminServerTest.java
@@ -30,6 +30,16 @@
                 return serves;
             }
 
+            @Override
+            public boolean enterMaintenance(String target) {
+                return target.equals("s-1") && done.add("out " + target);
+            }
+
+            @Override
+            public boolean exitMaintenance(String target) {
+                return target.equals("s-1") && done.add("in " + target);
+            }
+
             @Override
             public void standby() {
                 done.add("standby");
@@ -79,6 +89,19 @@
         assertEquals(List.of("standby", "standby", "active"), done);
     }
 
+    @Test
+    void aTargetIsNamedInTheBody() throws Exception {
+        assertEquals(200, status("POST", "/maintenance/enter", "{\"target\":\"s-1\"}"));
+        assertEquals(200, status("POST", "/maintenance/exit", "{\"target\" : \"s-1\",\"by\":\"me\"}"));
+        assertEquals(404, status("POST", "/maintenance/enter", "{\"target\":\"s-2\"}"));
+        assertEquals(404, status("POST", "/maintenance/exit", "{\"target\":\"s-2\"}"));
+        for (String body : List.of("", "s-1", "[]", "{}", "{\"target\":1}", "{\"target\":\"\"}", "{\"target\":null}")) {
+            assertEquals(400, status("POST", "/maintenance/enter", body), body);
+        }
+        assertEquals(405, status("GET", "/maintenance/enter", ""));
+        assertEquals(List.of("out s-1", "in s-1"), done);
+    }
+
     @Test
     void whatIsNoCallIsANoOrAnEnd() throws Exception {
         String nonsense = say("nonsense\r\n\r\n");
--- /dev/null
+++ b/src/test/java/pewtercourse/director/RosterModelTest.java
@@ -0,0 +1,152 @@
+package pewtercourse.director;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.json.JsonObject;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.lifecycle.BeforeTry;
+import pewtercourse.Timers;
+import pewtercourse.cache.CachePool;
+import pewtercourse.config.DirectorConfig;
+import pewtercourse.decision.Router;
+import pewtercourse.feed.FeedEvent;
+
+/** Calls by hand among events of the feed, in any order, against who may be used. */
+class RosterModelTest {
+    private record Step(int kind, int host) { }
+
+    private static final Timers NO_TIMERS = new Timers() {
+        @Override
+        public long set(long delayMs, Runnable then) {
+            return 0;
+        }
+
+        @Override
+        public void cancel(long timer) { }
+    };
+
+    private long now = 1_000_000;
+    private Roster roster;
+    private final Map<Long, Router.Member> module = new HashMap<>(); // What the module was last told.
+
+    // The same object plays all tries of a property.
+    @BeforeTry
+    void begin() throws Exception {
+        module.clear();
+        now = 1_000_000;
+        DirectorConfig c = DirectorConfig.read(Map.of(),
+                new JsonObject(Files.readString(Path.of("examples/config.json"))));
+        roster = new Roster(c.site(), new CachePool(null, NO_TIMERS, () -> now, 1, 1));
+    }
+
+    private static FeedEvent.Host host(int i, Router.State state, long started) {
+        return new FeedEvent.Host(i, "s-" + i, new InetSocketAddress("127.0.0.1", 9000 + i), "edge-1", "small-box", 0,
+                state, 1, started);
+    }
+
+    private void hear(Router.Listed l) {
+        if (l == null) {
+            return;
+        }
+        if (l.kind() == Router.ListKind.WHOLE) {
+            module.clear();
+        }
+        l.members().forEach(m -> module.put(m.id(), m));
+    }
+
+    private boolean used(int i) {
+        Router.Member m = module.get((long) i);
+        return m != null && m.state() == Router.State.READY;
+    }
+
+    @Property(tries = 500, seed = "7")
+    void whoIsOutIsNeverUsedAndWhoIsBackIsCold(@ForAll("steps") List<Step> steps) {
+        Map<Integer, FeedEvent.Host> listed = new HashMap<>();
+        Set<Integer> out = new HashSet<>();
+        Map<Integer, Long> back = new HashMap<>();
+        long number = 0;
+        for (Step s : steps) {
+            now += 1_000;
+            int i = s.host;
+            switch (s.kind) {
+                case 0, 1, 2 -> {
+                    Router.State state = Router.State.values()[s.kind];
+                    FeedEvent.Host h = host(i, state, s.host % 2 == 0 ? now : 0); // Some tell no new start.
+                    if (state == Router.State.GONE) {
+                        listed.remove(i);
+                        back.remove(i);
+                    } else {
+                        listed.put(i, h);
+                    }
+                    hear(roster.apply(new FeedEvent.Members(++number, false, List.of(h))));
+                }
+                case 3 -> {
+                    back.keySet().retainAll(listed.keySet());
+                    hear(roster.apply(new FeedEvent.Members(++number, true, new ArrayList<>(listed.values()))));
+                }
+                case 4 -> {
+                    assertEquals(listed.containsKey(i) || out.contains(i), roster.knows("s-" + i));
+                    if (listed.containsKey(i)) {
+                        hear(roster.takeOut("s-" + i, now));
+                        out.add(i);
+                    }
+                }
+                default -> {
+                    if (out.remove(i)) {
+                        back.put(i, listed.containsKey(i) && listed.get(i).startedMs() > 0 ? listed.get(i).startedMs() : now);
+                    }
+                    hear(roster.putBack("s-" + i, now));
+                }
+            }
+            for (int k = 0; k < 4; k++) {
+                FeedEvent.Host h = listed.get(k);
+                boolean usable = h != null && h.state() == Router.State.READY && !out.contains(k);
+                assertEquals(usable, used(k), "told to the module: " + k);
+                assertEquals(usable, roster.ready(k), "for what waits for a connection: " + k);
+                if (usable && back.containsKey(k) && h.startedMs() == 0) {
+                    assertTrue(module.get((long) k).since() >= back.get(k) * 1000, "back, and taken for warm: " + k);
+                }
+            }
+        }
+    }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        return Combinators.combine(Arbitraries.integers().between(0, 5), Arbitraries.integers().between(0, 3))
+                .as(Step::new).list().ofMaxSize(40);
+    }
+
+    @Example
+    void twoCallsOutAndOneBackAndAStartThatTheFeedTells() {
+        hear(roster.apply(new FeedEvent.Members(1, true, List.of(host(1, Router.State.READY, 0)))));
+        hear(roster.takeOut("s-1", now));
+        hear(roster.takeOut("s-1", now + 5));
+        assertFalse(used(1));
+        hear(roster.apply(new FeedEvent.Members(2, false, List.of(host(1, Router.State.GONE, 0)))));
+        assertTrue(roster.knows("s-1"), "out, though it is not listed now");
+        hear(roster.apply(new FeedEvent.Members(3, false, List.of(host(1, Router.State.READY, now + 2_000)))));
+        assertFalse(used(1), "listed anew, and still out");
+        hear(roster.putBack("s-1", now + 9_000));
+        assertTrue(used(1));
+        assertEquals((now + 2_000) * 1000, module.get(1L).since());
+        hear(roster.putBack("s-1", now + 9_500));
+        assertEquals((now + 2_000) * 1000, module.get(1L).since(), "a second call back changes nothing");
+    }
+}
