Upgrade under load: inherit the clients' socket and hand over between two processes

Package handover: InheritedSocket puts descriptor 0 under the library's server and can stop accepting without closing it; StateFile shares bans, returns and standby. Drains no longer punish, and close no connection that is not read from.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -25,8 +25,11 @@
 mb=${mb:-192}
 [ "$mb" -le 512 ] || mb=512
 heap=$((mb * 2 / 5))
+# Where the clients' socket is inherited, an upgrade has two processes under one limit for some seconds.
+[ -z "$GW_SOCKET_FD" ] || heap=$((mb / 4))
 [ "$heap" -ge 16 ] || heap=16
 direct=$((mb / 7))
+[ -z "$GW_SOCKET_FD" ] || direct=$((mb / 10))
 [ "$direct" -ge 8 ] || direct=8
 exec java -XX:SharedArchiveFile=target/pewtercourse.jsa -XX:-UsePerfData -XX:+UseSerialGC \
   -Xms$((heap / 2))m -Xmx${heap}m -Xss512k -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=20m \
--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -13,6 +13,7 @@
 import pewtercourse.bench.BenchLink;
 import pewtercourse.config.ConfigException;
 import pewtercourse.config.DirectorConfig;
+import pewtercourse.handover.InheritedSocket;
 import sun.misc.Signal;
 
 /**
@@ -21,7 +22,8 @@
  */
 public final class Main {
     // After SIGTERM connections still come for 0.4 s, and requests on open ones for 0.2 s more.
-    // Closing the listener would close its connections too, so it stays up until the end.
+    // Closing the listener would close its connections too, so it stays up until the end. Where the socket is inherited,
+    // another process accepts: this one ends once its clients are gone.
     private static final long ACCEPT_MS = 400, READ_MS = 200, SPARE_MS = 150, POLL_MS = 10, END_MOST_MS = 6_000;
 
     private Main() { }
@@ -52,8 +54,10 @@
 
     private static void serve() {
         DirectorConfig config;
+        InheritedSocket socket;
         try {
             config = DirectorConfig.fromEnvironment(System.getenv());
+            socket = InheritedSocket.from(System.getenv());
         } catch (ConfigException e) {
             Log.warn("config.unusable", "key", e.getMessage());
             System.exit(2);
@@ -62,29 +66,30 @@
         // The library warns when connections use up the descriptors. What the JVM reads from files for its first log
         // line must be read by then: else that line fails, and the thread that accepts connections ends with it.
         new SimpleFormatter().format(new LogRecord(Level.WARNING, "ready"));
-        Vertx vertx = vertx();
+        Vertx vertx = vertx(socket);
         vertx.exceptionHandler(e -> Log.error("loop.unexpected", e));
-        vertx.getOrCreateContext().runOnContext(v -> start(vertx, config));
+        vertx.getOrCreateContext().runOnContext(v -> start(vertx, config, socket));
     }
 
     private static void rehearse(String config) {
         try {
-            Rehearsal.run(vertx(), config);
+            Rehearsal.run(vertx(null), config);
         } catch (IOException e) {
             System.err.println("pewtercourse: cannot read " + config + ": " + e.getMessage());
             System.exit(1);
         }
     }
 
-    private static Vertx vertx() {
-        return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+    private static Vertx vertx(InheritedSocket socket) {
+        VertxOptions options = new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setPreferNativeTransport(false)
                 .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false)
-                        .setClassPathResolvingEnabled(false)));
+                        .setClassPathResolvingEnabled(false));
+        return socket == null ? Vertx.vertx(options) : Vertx.builder().with(options).withTransport(socket).build();
     }
 
-    private static void start(Vertx vertx, DirectorConfig config) {
-        Service service = new Service(vertx, config);
+    private static void start(Vertx vertx, DirectorConfig config, InheritedSocket socket) {
+        Service service = new Service(vertx, config, socket);
         // Before anybody can know that it listens: a signal that comes first would end the program at once.
         Context loop = vertx.getOrCreateContext();
         Signal.handle(new Signal("HUP"), s -> reload(loop, service));
@@ -115,8 +120,9 @@
     private static void drain(Vertx vertx, Service service) {
         Log.info("director.stopping", "open", service.open());
         CountDownLatch idle = new CountDownLatch(1);
+        vertx.runOnContext(v -> service.terminate());
         vertx.setTimer(ACCEPT_MS + READ_MS + SPARE_MS, a -> vertx.setPeriodic(POLL_MS, b -> {
-            if (service.open() == 0) {
+            if (service.empty()) {
                 // One more turn, so that the last answers are on their way.
                 vertx.setTimer(POLL_MS, c -> idle.countDown());
             }
--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -13,11 +13,18 @@
 import pewtercourse.front.Drain;
 import pewtercourse.front.RequestHandler;
 import pewtercourse.front.fastcgi.FastCgiServer;
+import pewtercourse.handover.InheritedSocket;
+import pewtercourse.handover.OperatorState;
+import pewtercourse.handover.StateFile;
 
 /** One running director: its front, its operators' address and what stands between them. All on the event loop. */
 final class Service implements Operations {
     // A client that is sent away while the director drains: another takes it at once.
     private static final long HOLD_OFF_MS = 50;
+    // A process that serves hears within this what operators told the other one of an upgrade.
+    private static final long FOLLOW_MS = 200;
+    // While another process serves nobody waits for this one, but it is due within 6 s of its start.
+    private static final long UPGRADE_WARM_MS = 2_500;
 
     private final Vertx vertx;
     private final DirectorConfig config;
@@ -25,24 +32,95 @@
     private final Warmup warmup;
     private final FastCgiServer front;
     private final Drain drain = new Drain();
+    private final InheritedSocket inherited;
+    private final StateFile state;
     private boolean serving;
 
-    Service(Vertx vertx, DirectorConfig config) {
+    Service(Vertx vertx, DirectorConfig config, InheritedSocket inherited) {
         this.vertx = vertx;
         this.config = config;
+        this.inherited = inherited;
         this.director = new Director(vertx, config);
         this.warmup = new Warmup(vertx, config, director);
         this.front = new FastCgiServer(vertx, new Gate(), director.clock(), config.front());
+        this.state = config.stateFolder() == null ? null : new StateFile(config.stateFolder());
     }
 
     Future<Void> start() {
+        boolean upgrade = takeOver();
         director.start();
-        director.onPeerHeard(warmup::missed);
+        director.onPeerHeard(upgrade ? () -> { } : warmup::missed);
         SocketAddress at = SocketAddress.inetSocketAddress(config.listen());
+        // The front first: an inherited socket goes to the first server.
         return front.listen(at).compose(v -> config.adminListen() == null ? Future.succeededFuture()
                 : new AdminServer(vertx, this).listen(SocketAddress.inetSocketAddress(config.adminListen()))
                         .onFailure(e -> Log.warn("admin.not_listening", "listen", config.adminListen(), "error", e)))
-                .compose(v -> warmup.run(at, config.startsWithFleet())).onSuccess(v -> serving = true);
+                .compose(v -> inherited == null ? warmup.run(at, config.startsWithFleet()) : warmInside(upgrade))
+                .onSuccess(v -> {
+                    follow();
+                    if (inherited != null) {
+                        write(); // So that a later process knows of this one.
+                    }
+                    serving = true;
+                    if (state != null) {
+                        vertx.setPeriodic(FOLLOW_MS, t -> follow());
+                    }
+                });
+    }
+
+    /** Takes over what operators told a process before this one; true if that one still runs. */
+    private boolean takeOver() {
+        OperatorState before = state == null ? null : state.changed();
+        if (before == null) {
+            return false;
+        }
+        boolean runs = inherited != null && before.pid() != ProcessHandle.current().pid()
+                && ProcessHandle.of(before.pid()).map(ProcessHandle::isAlive).orElse(false);
+        Log.info("state.taken_over", "from", before.pid(), "runs", runs, "out", before.out().keySet(), "standby",
+                before.standby());
+        heed(before);
+        return runs;
+    }
+
+    // A shared socket may lead to another process: the warm-up comes by one of its own, and nothing is accepted before.
+    private Future<Void> warmInside(boolean upgrade) {
+        FastCgiServer inside = new FastCgiServer(vertx, warmup, director.clock(), config.front());
+        return inside.listen(SocketAddress.inetSocketAddress(0, "127.0.0.1"))
+                .compose(s -> warmup.run(SocketAddress.inetSocketAddress(s.actualPort(), "127.0.0.1"),
+                        upgrade || config.startsWithFleet(), upgrade ? UPGRADE_WARM_MS : Warmup.MOST_MS))
+                .compose(v -> inside.close()).compose(v -> inherited.accept(true));
+    }
+
+    // Another process of this director may have been told something: bans and drains count for both.
+    private void follow() {
+        OperatorState told = state == null ? null : state.changed();
+        if (told != null) {
+            heed(told);
+        }
+    }
+
+    private void heed(OperatorState told) {
+        director.follow(told);
+        if (told.standby() != drain.has(Drain.Cause.STANDBY)) {
+            standby(told.standby());
+        }
+    }
+
+    private void write() {
+        if (state != null) {
+            state.write(director.operatorState(drain.has(Drain.Cause.STANDBY)));
+        }
+    }
+
+    private void standby(boolean on) {
+        Log.info(on ? "operator.standby" : "operator.active", "open", director.open(), "connections",
+                front.connections());
+        if (on) {
+            drain.begin(Drain.Cause.STANDBY, director.clock().getAsLong());
+        } else {
+            drain.end(Drain.Cause.STANDBY);
+        }
+        front.drain(drain);
     }
 
     /** Between the front and the service: what a drain turns away. */
@@ -69,30 +147,48 @@
 
     @Override
     public boolean enterMaintenance(String target) {
+        follow();
         boolean known = director.takeOut(target);
+        write();
         Log.info("operator.out", "target", known ? target : "unknown");
         return known;
     }
 
     @Override
     public boolean exitMaintenance(String target) {
+        follow();
         boolean known = director.putBack(target);
+        write();
         Log.info("operator.in", "target", known ? target : "unknown");
         return known;
     }
 
     @Override
     public void standby() {
-        Log.info("operator.standby", "open", director.open(), "connections", front.connections());
-        drain.begin(Drain.Cause.STANDBY, director.clock().getAsLong());
-        front.drain(drain);
+        follow();
+        standby(true);
+        write();
     }
 
     @Override
     public void active() {
-        Log.info("operator.active", "open", director.open(), "connections", front.connections());
-        drain.end(Drain.Cause.STANDBY);
-        front.drain(drain);
+        follow();
+        standby(false);
+        write();
+    }
+
+    /** SIGTERM: where the socket is inherited, another process takes the clients, and this one sends its own there. */
+    void terminate() {
+        if (inherited != null) {
+            inherited.accept(false);
+            drain.begin(Drain.Cause.HANDOVER, director.clock().getAsLong());
+            front.drain(drain);
+        }
+    }
+
+    /** Whether nothing is lost if it ends now. */
+    boolean empty() {
+        return director.open() == 0 && (inherited == null || front.connections() == 0);
     }
 
     void reload(DirectorConfig to) {
--- a/src/main/java/pewtercourse/Warmup.java
+++ b/src/main/java/pewtercourse/Warmup.java
@@ -32,7 +32,8 @@
     // for a CPU that is very short: a fleet that starts has no clients yet.
     private static final int REQUESTS = 1_500, AT_ONCE = 4;
     // Where others are at work already, a cold director loses more than its absence does up to the shorter time.
-    private static final long MOST_MS = 6_000, AT_WORK_MS = 1_200, HOLD_OFF_MS = 250;
+    static final long MOST_MS = 6_000;
+    private static final long AT_WORK_MS = 1_200, HOLD_OFF_MS = 250;
 
     private final Vertx vertx;
     private final RequestHandler service;
@@ -42,7 +43,7 @@
     private final Promise<Void> done = Promise.promise();
     private final Set<String> mine = new HashSet<>(); // The ids that are out.
     private int left = REQUESTS, out;
-    private final long mostMs, atWorkMs;
+    private final long defaultMs, atWorkMs;
     private boolean ready, missed, atWorkOver;
 
     /** {@code service} takes what comes once it is ready. Must be made on the event loop. */
@@ -51,7 +52,7 @@
     }
 
     Warmup(Vertx vertx, DirectorConfig config, RequestHandler service, long mostMs, long atWorkMs) {
-        this.mostMs = mostMs;
+        this.defaultMs = mostMs;
         this.atWorkMs = atWorkMs;
         this.vertx = vertx;
         this.service = service;
@@ -78,6 +79,11 @@
 
     /** Completes when it is done, in no more than 6 s, 1.2 where others are at work, or at once if there is no time to; never fails. */
     Future<Void> run(SocketAddress front, boolean time) {
+        return run(front, time, defaultMs);
+    }
+
+    /** The same, in no more than {@code mostMs}. */
+    Future<Void> run(SocketAddress front, boolean time, long mostMs) {
         if (!time) {
             ready = true;
             return Future.succeededFuture();
--- a/src/main/java/pewtercourse/config/DirectorConfig.java
+++ b/src/main/java/pewtercourse/config/DirectorConfig.java
@@ -20,11 +20,13 @@
 
 /**
  * What one real director is told: the GW_* variables and the JSON file that they name. This is the only place
- * where they are read, checked and given defaults.
+ * where they are read, checked and given defaults. {@code inherits}: the clients' socket is held by the platform.
+ * {@code stateFolder}: where processes of one director leave word for one another, or null.
  */
 public record DirectorConfig(String name, InetSocketAddress listen, long seed, int sockets, int memoryMb,
         InetSocketAddress adminListen, InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress feed, JsonArray known,
-        long knownNumber, SiteSettings site, JsonObject source) {
+        long knownNumber, SiteSettings site, boolean inherits,
+        Path stateFolder, JsonObject source) {
 
     private static final int DEFAULT_SOCKETS = 1024, DEFAULT_MEMORY = 192;
     // What SIGHUP carries out at once, and what is new in each file and only counts at a start.
@@ -74,7 +76,9 @@
                 admin.isEmpty() ? null : address("GW_ADMIN_ADDR", admin),
                 peerListen == null ? null : address("peer_listen", peerListen), peers,
                 feed == null ? null : address("feed", feed),
-                array(known, "events"), number(known, "known.", "n", 0), site, json);
+                array(known, "events"), number(known, "known.", "n", 0), site,
+                !env.getOrDefault("GW_SOCKET_FD", "").isEmpty(),
+                admin.isEmpty() || env.getOrDefault("TMPDIR", "").isEmpty() ? null : Path.of(env.get("TMPDIR")), json);
     }
 
     /**
@@ -98,9 +102,9 @@
         return new FrontLimits(Math.max(8, sockets / 3 + 8), (long) memoryMb << 16, (long) memoryMb << 17);
     }
 
-    /** Connections to caches, idle or at work. */
+    /** Connections to caches, idle or at work. Where the socket is inherited, two processes share the limit at times. */
     public int cacheConnections() {
-        return Math.max(16, sockets - front().connections() - otherDescriptors());
+        return Math.max(16, (sockets - front().connections() - otherDescriptors()) / (inherits ? 2 : 1));
     }
 
     /** The keys of the file that differ and only a restart can carry out, in order. */
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -27,6 +27,7 @@
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.RequestHandler;
+import pewtercourse.handover.OperatorState;
 import pewtercourse.peer.PeerSocket;
 
 /**
@@ -79,7 +80,7 @@
         this.pool = new CachePool(transport, timers, clock, (long) (IDLE_SHARE * site.idleClose()), config.cacheConnections());
         this.roster = new Roster(site, pool);
         this.router = new Logic(site.router(), config.seed());
-        this.peers = new PeerSocket(vertx, config.peers(), (from, bytes) -> {
+        this.peers = new PeerSocket(vertx, config.peers(), config.inherits(), (from, bytes) -> {
             peerHeard.run();
             tell(new Router.PeerMessage(from, bytes));
         });
@@ -136,6 +137,20 @@
         return byHand(name, roster.knows(name) ? roster.putBack(name, clock.getAsLong() / 1000) : null);
     }
 
+    /** What operators told another process of this director. */
+    public void follow(OperatorState state) {
+        Router.Listed change = roster.follow(state.out(), state.back(), clock.getAsLong() / 1000);
+        if (!change.members().isEmpty()) {
+            tell(change);
+        }
+    }
+
+    /** What another process has to know. */
+    public OperatorState operatorState(boolean standby) {
+        return new OperatorState(ProcessHandle.current().pid(), standby, Map.copyOf(roster.byHand().out()),
+                Map.copyOf(roster.byHand().back()));
+    }
+
     private boolean byHand(String name, Router.Listed change) {
         if (change != null) {
             tell(change);
--- a/src/main/java/pewtercourse/director/OutByHand.java
+++ b/src/main/java/pewtercourse/director/OutByHand.java
@@ -53,7 +53,32 @@
         started.remove(name);
     }
 
-    Set<String> names() {
-        return new TreeSet<>(since.keySet());
+    Map<String, Long> out() {
+        return since;
+    }
+
+    Map<String, Long> back() {
+        return started;
+    }
+
+    /** Another process of this director was told: its word counts. Returns whose state has changed. */
+    Set<String> follow(Map<String, Long> out, Map<String, Long> back, long now) {
+        Set<String> changed = new TreeSet<>();
+        out.forEach((name, at) -> {
+            if (enter(name, at)) {
+                changed.add(name);
+            }
+        });
+        for (String name : Set.copyOf(since.keySet())) {
+            if (!out.containsKey(name) && exit(name, 0, back.getOrDefault(name, now))) {
+                changed.add(name);
+            }
+        }
+        back.forEach((name, at) -> {
+            if (!isOut(name) && started.size() < MOST && started.putIfAbsent(name, at) == null) {
+                changed.add(name);
+            }
+        });
+        return changed;
     }
 }
--- a/src/main/java/pewtercourse/director/Roster.java
+++ b/src/main/java/pewtercourse/director/Roster.java
@@ -82,6 +82,19 @@
         return out.exit(name, h == null ? 0 : h.startedMs(), nowMs) ? told(h) : null;
     }
 
+    /** Takes over what another process was told; returns what the module is to be told. */
+    Router.Listed follow(Map<String, Long> nowOut, Map<String, Long> back, long nowMs) {
+        List<Router.Member> members = new ArrayList<>();
+        for (String name : out.follow(nowOut, back, nowMs)) {
+            members.addAll(told(named(name)).members());
+        }
+        return new Router.Listed(Router.ListKind.CHANGES, members);
+    }
+
+    OutByHand byHand() {
+        return out;
+    }
+
     // Connections to the process that ran before it was taken out, or came back, are of no use.
     private Router.Listed told(FeedEvent.Host h) {
         if (h != null) {
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiClient.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiClient.java
@@ -14,10 +14,14 @@
     private final RecordReader reader = new RecordReader();
     private Promise<Buffer> answer = Promise.promise();
     private Buffer out = Buffer.buffer();
+    private boolean closed;
 
     private FastCgiClient(NetSocket socket) {
         this.socket = socket;
-        socket.closeHandler(v -> answer.tryFail("closed"));
+        socket.closeHandler(v -> {
+            closed = true;
+            answer.tryFail("closed");
+        });
         socket.handler(this::read);
     }
 
@@ -42,6 +46,9 @@
 
     /** The CGI response: head and body. Only one may be asked for at a time. */
     public Future<Buffer> ask(Map<String, String> params) {
+        if (closed) {
+            return Future.failedFuture("closed");
+        }
         answer = Promise.promise();
         out = Buffer.buffer();
         socket.write(Record.encode(Record.BEGIN, 1, Buffer.buffer(new byte[] {0, 1, 1, 0, 0, 0, 0, 0})));
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -31,7 +31,8 @@
     // at once. A connection that has been of use may be idle for a second longer than they keep theirs.
     static final long SPEAK_MS = 2_500, IDLE_MS = 5_000;
     // While the director drains: so long after its answer a client has read it, and nothing of its next request is here.
-    static final long REST_MS = 30;
+    // SETTLE_MS: the loop reads what has come before a timer runs, so that nothing that is here is cut off.
+    static final long REST_MS = 30, SETTLE_MS = 1;
     // After bad input a connection is not read for a while, longer each time: a client that repeats it at full
     // speed must not take the time of the others. Its answers are not delayed.
     static final long PENALTY_FIRST_MS = 20, PENALTY_MOST_MS = 160;
@@ -72,7 +73,7 @@
     private boolean closed, closeWhenWritten, paused, spoke;
 
     FastCgiConnection(NetSocket socket, RequestHandler handler, LongSupplier clock, Timers timers,
-            ConnectionTable table, Backlog backlog) {
+            ConnectionTable table, Backlog backlog, Runnable gone) {
         this.socket = socket;
         this.handler = handler;
         this.clock = clock;
@@ -84,7 +85,10 @@
         socket.handler(this::read);
         socket.drainHandler(v -> pump());
         socket.exceptionHandler(e -> Log.counted("front.connection_error", "error", e));
-        socket.closeHandler(v -> ended());
+        socket.closeHandler(v -> {
+            ended();
+            gone.run();
+        });
         move();
     }
 
@@ -119,16 +123,13 @@
     void rest() {
         timers.cancel(unused);
         restedOut = clock.getAsLong() + SPEAK_MS * 1000;
-        unused = timers.set(table.draining() == Drain.Step.OPEN ? IDLE_MS : REST_MS, this::leave);
-        if (table.draining().compareTo(Drain.Step.CLOSE_EMPTY) >= 0 && reader.pending() == 0) {
-            closeWhenWritten = true;
-            pump();
-        }
+        unused = timers.set(table.draining() == Drain.Step.OPEN ? IDLE_MS
+                : table.draining() == Drain.Step.CLOSE_RESTING ? REST_MS : SETTLE_MS, this::leave);
     }
 
     // A drain cuts off neither a request that has begun to come nor an answer that is still being read.
     private void leave() {
-        boolean inUse = !open.isEmpty() || reader.pending() > 0 || !pending.isEmpty();
+        boolean inUse = !open.isEmpty() || reader.pending() > 0 || !pending.isEmpty() || penalty >= 0;
         if (table.draining() != Drain.Step.OPEN && inUse && clock.getAsLong() < restedOut) {
             unused = timers.set(REST_MS, this::leave);
         } else {
@@ -289,8 +290,10 @@
             ClientRequest request = CgiRequest.decode(params, in.body, clock.getAsLong());
             Runnable gone = handler.handle(request, a -> answer(id, in, a));
             in.gone = gone;
-            if (open.get(id) != in) {
-                punish(); // Answered on the spot: it could not be used.
+            // Answered on the spot: it could not be used, unless the director drains. What a client that is not read from
+            // has sent would then be lost with the connection.
+            if (open.get(id) != in && table.draining() != Drain.Step.REFUSE) {
+                punish();
             } else {
                 penaltyMs = 0;
             }
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
@@ -22,6 +22,7 @@
     private final ConnectionTable table;
     private final FastCgiConnection.Backlog backlog;
     private long nextStep = -1;
+    private int sockets;
 
     public FastCgiServer(Vertx vertx, RequestHandler handler, LongSupplier clock, FrontLimits limits) {
         this.timers = Timers.of(vertx);
@@ -36,9 +37,11 @@
     }
 
     private void accept(NetSocket socket) {
+        sockets++;
         if (table.admit(clock.getAsLong())) {
-            new FastCgiConnection(socket, handler, clock, timers, table, backlog);
+            new FastCgiConnection(socket, handler, clock, timers, table, backlog, () -> sockets--);
         } else {
+            socket.closeHandler(v -> sockets--);
             socket.close();
         }
     }
@@ -52,8 +55,9 @@
         nextStep = next < 0 ? -1 : timers.set(next, () -> drain(drain));
     }
 
+    /** Also those that only wait for their last bytes to be read. */
     public int connections() {
-        return table.count();
+        return sockets;
     }
 
     public Future<Void> close() {
--- a/src/main/java/pewtercourse/peer/PeerSocket.java
+++ b/src/main/java/pewtercourse/peer/PeerSocket.java
@@ -19,8 +19,9 @@
     private final List<InetSocketAddress> peers;
     private final BiConsumer<Integer, byte[]> handler;
 
-    public PeerSocket(Vertx vertx, List<InetSocketAddress> peers, BiConsumer<Integer, byte[]> handler) {
-        this.socket = vertx.createDatagramSocket(new DatagramSocketOptions());
+    /** {@code shared}: two processes may hold the address for a while; messages reach the one that came last. */
+    public PeerSocket(Vertx vertx, List<InetSocketAddress> peers, boolean shared, BiConsumer<Integer, byte[]> handler) {
+        this.socket = vertx.createDatagramSocket(new DatagramSocketOptions().setReuseAddress(shared));
         this.peers = peers;
         this.handler = handler;
     }
--- a/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
+++ b/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
@@ -56,7 +56,7 @@
         final Map<Long, Runnable> timers = new TreeMap<>();
         long now = 1000, nextTimer;
         int gone, abortedOpen, serial, writes;
-        boolean full, closed, paused, draining, broken;
+        boolean full, closed, paused, draining, broken, refusing;
         Handler<Buffer> input;
         Handler<Void> drain, close;
 
@@ -89,6 +89,10 @@
                         default -> null;
                     });
             new FastCgiConnection(socket, (r, answer) -> {
+                if (refusing) {
+                    answer.accept(Answer.refused(50));
+                    return () -> { };
+                }
                 int id = ids.get(r.id());
                 assertEquals(Owed.ANSWER, owed.get(id), "handed on before its last byte");
                 assertTrue(expected.get(id).equals(r.body()), "another body");
@@ -105,7 +109,7 @@
                 public void cancel(long timer) {
                     timers.remove(timer);
                 }
-            }, table, backlog);
+            }, table, backlog, () -> { });
         }
 
         private static Object set(Runnable r, Object then) {
@@ -297,6 +301,38 @@
         assertTrue(m.closed);
     }
 
+    // It was: what such clients had sent meanwhile was lost with their connections, fifteen requests an upgrade.
+    @Example
+    void aClientThatADrainTurnsAwayIsStillReadFrom() {
+        Model m = new Model();
+        m.drain(Drain.Step.REFUSE);
+        m.refusing = true;
+        m.begin(1);
+        m.feed(Record.encode(Record.STDIN, 1, Buffer.buffer()));
+        assertTrue(m.text().contains("Status: 503") && m.text().contains("X-Pushback-Ms: 50"), m.text());
+        assertFalse(m.paused);
+        m.owed.clear();
+        expire(m, true);
+        assertTrue(m.closed);
+    }
+
+    @Example
+    void aConnectionThatIsNotReadFromIsNotClosedByADrain() {
+        Model m = new Model();
+        m.begin(1);
+        m.feed(Record.encode(Record.STDIN, 1, Buffer.buffer(new byte[10])));
+        expire(m, false); // Not whole in time: bad input.
+        m.owed.clear();
+        assertTrue(m.paused);
+        m.drain(Drain.Step.CLOSE_EMPTY);
+        expire(m, false);
+        assertFalse(m.closed, "what has come meanwhile is not read yet");
+        expire(m, true);
+        assertFalse(m.paused);
+        expire(m, true);
+        assertTrue(m.closed);
+    }
+
     @Example
     void aSilentConnectionIsEnded() {
         Model m = new Model();
