--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -105,14 +105,17 @@
     }
 
     /** Runs on SIGHUP, in a thread of its own: a file that can't be used changes nothing. */
-    private static void reload(Context loop, Service service) {
+    // One at a time, from the reading to the handing over: of two signals the later one's file must stay.
+    private static synchronized void reload(Context loop, Service service) {
         try {
             DirectorConfig to = DirectorConfig.fromEnvironment(System.getenv());
             loop.runOnContext(v -> service.reload(to));
         } catch (ConfigException e) {
             Log.warn("config.kept", "key", e.getMessage());
+            loop.runOnContext(v -> service.turnedDown());
         } catch (RuntimeException e) {
             Log.error("config.unexpected", e);
+            loop.runOnContext(v -> service.turnedDown());
         }
     }
 
--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -8,6 +8,7 @@
 import pewtercourse.admin.Operations;
 import pewtercourse.config.DirectorConfig;
 import pewtercourse.director.Director;
+import pewtercourse.director.Figures;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.Drain;
@@ -32,16 +33,25 @@
     private final Warmup warmup;
     private final FastCgiServer front;
     private final Drain drain = new Drain();
+    private final Figures figures = new Figures();
+    private final RequestHandler turnedAway;
     private final InheritedSocket inherited;
     private final StateFile state;
     private boolean serving;
+    private long accepted, invalid; // Files at SIGHUP.
 
     Service(Vertx vertx, DirectorConfig config, InheritedSocket inherited) {
         this.vertx = vertx;
         this.config = config;
         this.inherited = inherited;
         this.director = new Director(vertx, config);
-        this.warmup = new Warmup(vertx, config, director);
+        this.warmup = new Warmup(vertx, config, figures.count(director, director::knowsClass),
+                figures.count(Warmup.REFUSING, director::knowsClass));
+        this.turnedAway = figures.count((request, answer) -> {
+            answer.accept(Answer.refused(HOLD_OFF_MS));
+            return () -> { };
+        }, director::knowsClass);
+        figures.show(config.site().classes().keySet());
         this.front = new FastCgiServer(vertx, new Gate(), director.clock(), config.front());
         this.state = config.stateFolder() == null ? null : new StateFile(config.stateFolder());
     }
@@ -128,8 +138,7 @@
         @Override
         public Runnable handle(ClientRequest request, Consumer<Answer> answer) {
             if (drain.step(director.clock().getAsLong()) == Drain.Step.REFUSE) {
-                answer.accept(Answer.refused(HOLD_OFF_MS));
-                return () -> { };
+                return turnedAway.handle(request, answer);
             }
             return warmup.handle(request, answer);
         }
@@ -140,6 +149,11 @@
         }
     }
 
+    @Override
+    public String metrics() {
+        return figures.text(director.gauges(accepted, invalid));
+    }
+
     @Override
     public boolean canServe() {
         return serving;
@@ -192,9 +206,15 @@
     }
 
     void reload(DirectorConfig to) {
+        accepted++;
         director.reload(to);
     }
 
+    /** A file at SIGHUP that can't be used. */
+    void turnedDown() {
+        invalid++;
+    }
+
     int open() {
         return director.open();
     }
--- a/src/main/java/pewtercourse/Warmup.java
+++ b/src/main/java/pewtercourse/Warmup.java
@@ -35,8 +35,13 @@
     static final long MOST_MS = 6_000;
     private static final long AT_WORK_MS = 1_200, HOLD_OFF_MS = 250;
 
+    static final RequestHandler REFUSING = (request, answer) -> {
+        answer.accept(Answer.refused(HOLD_OFF_MS));
+        return () -> { };
+    };
+
     private final Vertx vertx;
-    private final RequestHandler service;
+    private final RequestHandler service, refusing;
     private final List<String> classes;
     private final Director director;
     private final Random random = new Random(1);
@@ -48,10 +53,21 @@
 
     /** {@code service} takes what comes once it is ready. Must be made on the event loop. */
     Warmup(Vertx vertx, DirectorConfig config, RequestHandler service) {
-        this(vertx, config, service, MOST_MS, AT_WORK_MS);
+        this(vertx, config, service, REFUSING, MOST_MS, AT_WORK_MS);
+    }
+
+    /** {@code refusing}: takes what comes before that. */
+    Warmup(Vertx vertx, DirectorConfig config, RequestHandler service, RequestHandler refusing) {
+        this(vertx, config, service, refusing, MOST_MS, AT_WORK_MS);
     }
 
     Warmup(Vertx vertx, DirectorConfig config, RequestHandler service, long mostMs, long atWorkMs) {
+        this(vertx, config, service, REFUSING, mostMs, atWorkMs);
+    }
+
+    private Warmup(Vertx vertx, DirectorConfig config, RequestHandler service, RequestHandler refusing, long mostMs,
+            long atWorkMs) {
+        this.refusing = refusing;
         this.defaultMs = mostMs;
         this.atWorkMs = atWorkMs;
         this.vertx = vertx;
@@ -117,8 +133,7 @@
         }
         if (!ready) {
             missed();
-            answer.accept(Answer.refused(HOLD_OFF_MS));
-            return () -> { };
+            return refusing.handle(request, answer);
         }
         return service.handle(request, answer);
     }
--- a/src/main/java/pewtercourse/admin/AdminApi.java
+++ b/src/main/java/pewtercourse/admin/AdminApi.java
@@ -13,7 +13,7 @@
 
     AdminReply handle(AdminCall call) {
         String method = switch (call.path()) {
-            case "/status" -> "GET";
+            case "/status", "/status/metrics" -> "GET";
             case "/maintenance/enter", "/maintenance/exit", "/standby", "/active" -> "POST";
             default -> null;
         };
@@ -26,6 +26,8 @@
         switch (call.path()) {
             case "/status":
                 return director.canServe() ? AdminReply.of(200, "ready") : AdminReply.of(503, "not ready");
+            case "/status/metrics":
+                return AdminReply.of(200, director.metrics());
             case "/maintenance/enter", "/maintenance/exit":
                 return maintenance(call);
             case "/standby":
--- a/src/main/java/pewtercourse/admin/AdminServer.java
+++ b/src/main/java/pewtercourse/admin/AdminServer.java
@@ -30,7 +30,7 @@
             c.closeHandler(v -> table.ended(c));
         });
         server.requestHandler(this::read);
-        server.exceptionHandler(e -> Log.counted("admin.accept_error", "error", e));
+        server.exceptionHandler(e -> Log.counted("admin.caller_error", "error", e));
         server.invalidRequestHandler(r -> reply(r, AdminReply.of(400, "unreadable")));
     }
 
@@ -73,6 +73,6 @@
             r.response().putHeader("Allow", a.allow());
         }
         r.response().setStatusCode(a.status()).putHeader("Content-Type", "text/plain; charset=utf-8")
-                .putHeader("Connection", "close").end(a.text() + "\n").onComplete(v -> r.connection().close());
+                .putHeader("Connection", "close").end(a.text().endsWith("\n") ? a.text() : a.text() + "\n").onComplete(v -> r.connection().close());
     }
 }
--- a/src/main/java/pewtercourse/admin/Operations.java
+++ b/src/main/java/pewtercourse/admin/Operations.java
@@ -5,6 +5,9 @@
     /** Whether this process can serve. */
     boolean canServe();
 
+    /** The figures: a line for each, NAME=VALUE. */
+    String metrics();
+
     /** Takes a cache out until {@link #exitMaintenance}; false if there is none of this name. */
     boolean enterMaintenance(String target);
 
--- a/src/main/java/pewtercourse/cache/Attempt.java
+++ b/src/main/java/pewtercourse/cache/Attempt.java
@@ -80,6 +80,7 @@
             return;
         }
         written = true;
+        pool.wrote();
         timer = timers.set(Timers.millis(left), () -> end(CacheAnswer.of(End.TIMEOUT)));
         // Once the request may have left, a connection that ends proves nothing: RESET, reused or not.
         connection.exchange(request, Math.max(1, left / 1000)).onComplete(a ->
--- a/src/main/java/pewtercourse/cache/CachePool.java
+++ b/src/main/java/pewtercourse/cache/CachePool.java
@@ -30,6 +30,7 @@
     private final int connectionsMost;
     private final Map<Long, Deque<Idle>> idle = new HashMap<>();
     private int connections;
+    private long written;
 
     /** {@code idleMost}: microseconds after which an idle connection isn't used again. */
     public CachePool(Transport transport, Timers timers, LongSupplier clock, long idleMost, int connectionsMost) {
@@ -53,6 +54,16 @@
         return null;
     }
 
+    /** An attempt was written whole. */
+    void wrote() {
+        written++;
+    }
+
+    /** Attempts that were written whole. */
+    public long written() {
+        return written;
+    }
+
     /** A new connection, or null if there are as many as may be and none is idle. */
     Future<CacheConnection> connect(InetSocketAddress to) {
         if (connections >= connectionsMost && !closeOneIdle()) {
--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -242,6 +242,11 @@
         return actions;
     }
 
+    @Override
+    public int avoided() {
+        return (int) nodes.values().stream().filter(n -> n.until > 0).count();
+    }
+
     // ---- A request arrives: it is counted, and planned ----
     private void arrive(Request q) {
         RequestClass cls = set.classes()[q.cls()];
@@ -292,13 +297,7 @@
     }
 
     private Tally tally(Table<Tally> table, long object) {
-        Tally t = table.get(object);
-        if (t == null) {
-            t = new Tally();
-            t.epoch = now / HALVING;
-            table.put(object, t);
-        }
-        return age(t);
+        return age(table.computeIfAbsent(object, o -> new Tally()));
     }
 
     private Tally age(Tally t) {
--- a/src/main/java/pewtercourse/decision/Router.java
+++ b/src/main/java/pewtercourse/decision/Router.java
@@ -10,6 +10,9 @@
     /** Handles events in the order in which they came; all of them happen at {@code now}. */
     List<Action> handle(long now, List<Event> events);
 
+    /** Listed members that it leaves alone for now. */
+    int avoided();
+
     enum Effect { PURE, TOKEN, SIDE_EFFECT }
 
     /** Which caches drop the repeats of a tokened request. */
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -158,6 +158,15 @@
         return roster.knows(name);
     }
 
+    /** The figures of the parts behind the front. */
+    public Figures.Gauges gauges(long accepted, long invalid) {
+        return new Figures.Gauges(pool.written(), roster.size(), roster.listedOut() + router.avoided(), accepted, invalid);
+    }
+
+    public boolean knowsClass(String name) {
+        return site.classes().containsKey(name);
+    }
+
     public LongSupplier clock() {
         return clock;
     }
--- a/src/main/java/pewtercourse/director/Roster.java
+++ b/src/main/java/pewtercourse/director/Roster.java
@@ -108,6 +108,15 @@
         return hosts.get(id);
     }
 
+    int size() {
+        return hosts.size();
+    }
+
+    /** How many of them are out by hand. */
+    int listedOut() {
+        return (int) hosts.values().stream().filter(h -> out.isOut(h.name())).count();
+    }
+
     boolean ready(long id) {
         FeedEvent.Host h = hosts.get(id);
         return h != null && h.state() == Router.State.READY && !out.isOut(h.name());
--- a/src/test/java/pewtercourse/admin/AdminServerTest.java
+++ b/src/test/java/pewtercourse/admin/AdminServerTest.java
@@ -30,6 +30,11 @@
                 return serves;
             }
 
+            @Override
+            public String metrics() {
+                return "open_requests=14\n";
+            }
+
             @Override
             public boolean enterMaintenance(String target) {
                 return target.equals("s-1") && done.add("out " + target);
@@ -83,6 +88,7 @@
         assertEquals(405, status("POST", "/status", ""));
         assertEquals(405, status("GET", "/standby", ""));
         assertEquals(404, status("GET", "/nowhere", ""));
+        assertTrue(say("GET /status/metrics HTTP/1.1\r\nHost: x\r\n\r\n").endsWith("\r\n\r\nopen_requests=14\n"));
         assertEquals(200, status("POST", "/standby", ""));
         assertEquals(200, status("POST", "/standby", "{}"));
         assertEquals(200, status("POST", "/active", ""));
