--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -26,6 +26,8 @@
     // another process accepts: this one ends once its clients are gone.
     private static final long ACCEPT_MS = 400, READ_MS = 200, SPARE_MS = 150, POLL_MS = 10, END_MOST_MS = 6_000;
 
+    private static DirectorConfig running; // The last file that was taken.
+
     private Main() { }
 
     public static void main(String[] args) {
@@ -89,6 +91,7 @@
     }
 
     private static void start(Vertx vertx, DirectorConfig config, InheritedSocket socket) {
+        running = config;
         Service service = new Service(vertx, config, socket);
         // Before anybody can know that it listens: a signal that comes first would end the program at once.
         Context loop = vertx.getOrCreateContext();
@@ -104,11 +107,14 @@
         });
     }
 
-    /** Runs on SIGHUP, in a thread of its own: a file that can't be used changes nothing. */
-    // One at a time, from the reading to the handing over: of two signals the later one's file must stay.
+    /**
+     * Runs on SIGHUP, in a thread of its own: a file that can't be used changes nothing. One at a time, from the reading
+     * to the handing over: of two signals the later one's file must stay.
+     */
     private static synchronized void reload(Context loop, Service service) {
         try {
-            DirectorConfig to = DirectorConfig.fromEnvironment(System.getenv());
+            running = running.again(System.getenv());
+            DirectorConfig to = running;
             loop.runOnContext(v -> service.reload(to));
         } catch (ConfigException e) {
             Log.warn("config.kept", "key", e.getMessage());
--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -28,7 +28,7 @@
     private static final long UPGRADE_WARM_MS = 2_500;
 
     private final Vertx vertx;
-    private final DirectorConfig config;
+    private DirectorConfig config;
     private final Director director;
     private final Warmup warmup;
     private final FastCgiServer front;
@@ -207,6 +207,8 @@
 
     void reload(DirectorConfig to) {
         accepted++;
+        config = to;
+        figures.show(to.site().classes().keySet());
         director.reload(to);
     }
 
--- a/src/main/java/pewtercourse/cache/CachePool.java
+++ b/src/main/java/pewtercourse/cache/CachePool.java
@@ -26,7 +26,7 @@
     private final Transport transport;
     private final Timers timers;
     private final LongSupplier clock;
-    private final long idleMost;
+    private long idleMost;
     private final int connectionsMost;
     private final Map<Long, Deque<Idle>> idle = new HashMap<>();
     private int connections;
@@ -41,6 +41,11 @@
         this.connectionsMost = connectionsMost;
     }
 
+    /** From now on an idle connection isn't used again after this many microseconds. */
+    public void idleMost(long micros) {
+        idleMost = micros;
+    }
+
     /** An idle connection that is still open, or null. */
     CacheConnection take(long cache) {
         Deque<Idle> of = idle.get(cache);
--- a/src/main/java/pewtercourse/config/DirectorConfig.java
+++ b/src/main/java/pewtercourse/config/DirectorConfig.java
@@ -30,7 +30,7 @@
 
     private static final int DEFAULT_SOCKETS = 1024, DEFAULT_MEMORY = 192;
     // What SIGHUP carries out at once, and what is new in each file and only counts at a start.
-    private static final Set<String> NO_RESTART = Set.of("feed", "known", "seed");
+    private static final Set<String> NO_RESTART = Set.of("feed", "known", "seed", "settings");
 
     public static DirectorConfig fromEnvironment(Map<String, String> env) {
         String path = required(env, "GW_CONFIG");
@@ -45,6 +45,13 @@
         return read(env, json);
     }
 
+    /** The file as it is now, to take the place of this one: whole, or not at all. */
+    public DirectorConfig again(Map<String, String> env) {
+        DirectorConfig next = fromEnvironment(env);
+        Reloading.check(source, next.source);
+        return next;
+    }
+
     /** The variables win over the file where both tell the name and the address. */
     public static DirectorConfig read(Map<String, String> env, JsonObject json) {
         String name = env.getOrDefault("GW_NAME", string(json, "name", "director"));
@@ -69,6 +76,7 @@
         if (site.classes().isEmpty()) {
             throw new ConfigException("settings.Classes", "no class of requests");
         }
+        usable(site, settings);
         JsonObject limits = object(json, "limits", new JsonObject());
         return new DirectorConfig(name, address("GW_LISTEN", listen), seed(string(json, "seed", "0")),
                 (int) number(limits, "limits.", "sockets", DEFAULT_SOCKETS),
@@ -81,6 +89,38 @@
                 admin.isEmpty() || env.getOrDefault("TMPDIR", "").isEmpty() ? null : Path.of(env.get("TMPDIR")), json);
     }
 
+    // What would make every request fail, or be made twice, if it were read as a default.
+    private static void usable(SiteSettings site, JsonObject settings) {
+        JsonArray classes = array(settings, "Classes");
+        for (int i = 0; i < classes.size(); i++) {
+            String path = "settings.Classes." + i + ".";
+            JsonObject c = classes.getValue(i) instanceof JsonObject o ? o : new JsonObject();
+            if (!(c.getValue("Name") instanceof String name) || name.isEmpty()) {
+                throw new ConfigException(path + "Name", "missing");
+            }
+            if (site.classes().getOrDefault(plain(name), -1) != i) {
+                throw new ConfigException(path + "Name", "'" + name + "' is there twice");
+            }
+            oneOf(c, path, "Effect", "pure", "token", "side_effect");
+            oneOf(c, path, "Group", "all", "zone", "cell");
+            over0(path + "Deadline", site.router().classes()[i].deadline());
+            over0(path + "Aim", site.router().classes()[i].aim());
+        }
+        over0("settings.Permissions.TryLimit", site.router().tryLimit());
+    }
+
+    private static void over0(String key, long value) {
+        if (value <= 0) {
+            throw new ConfigException(key, "not over 0");
+        }
+    }
+
+    private static void oneOf(JsonObject c, String path, String key, String... words) {
+        if (c.containsKey(key) && !List.of(words).contains(c.getValue(key))) {
+            throw new ConfigException(path + key, "'" + c.getValue(key) + "' is none of " + String.join(", ", words));
+        }
+    }
+
     /**
      * Whether the list of caches is still the first one, so that the whole fleet is starting and no client is
      * waiting for this director. One that comes into a fleet at work is missed until it is ready.
--- a/src/main/java/pewtercourse/config/SiteSettings.java
+++ b/src/main/java/pewtercourse/config/SiteSettings.java
@@ -1,7 +1,9 @@
 package pewtercourse.config;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import pewtercourse.decision.Router;
 
 /**
@@ -16,6 +18,28 @@
         return new Reader(info).read();
     }
 
+    /**
+     * These settings with their classes at the places that {@code places} gives them; a new name gets the next place
+     * there, and what nobody names any more stays as it was, for requests that are under way.
+     */
+    public SiteSettings placed(Map<String, Integer> places, SiteSettings before) {
+        Map<String, Integer> at = new HashMap<>();
+        classes.keySet().stream().sorted().forEach(name -> {
+            places.putIfAbsent(name, places.size());
+            at.put(name, places.get(name));
+        });
+        Router.RequestClass[] all = Arrays.copyOf(before.router.classes(), places.size());
+        classes.forEach((name, i) -> all[at.get(name)] = router.classes()[i]);
+        return new SiteSettings(router.with(all), at, zones, parentKind, originKind, connectTimeout, idleClose,
+                answerSlack);
+    }
+
+    /** Whether a line of the list means the same under these. */
+    public boolean namesAlike(SiteSettings other) {
+        return zones.equals(other.zones) && Objects.equals(parentKind, other.parentKind)
+                && Objects.equals(originKind, other.originKind);
+    }
+
     /** A line of the list, with the names of zone and kind resolved. */
     public Router.Member member(long id, String zone, String kind, int cell, Router.State state, double weight,
             long since) {
--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -167,8 +167,8 @@
     private static final Comparator<Node> BY_SCORE = (a, b) ->
             a.score != b.score ? Double.compare(b.score, a.score) : Long.compare(a.is.id(), b.is.id());
 
-    private final Settings set;
-    private final int seats; // Routers of the own zone.
+    private Settings set;
+    private int seats; // Routers of the own zone.
     private final Random random;
     private final Map<Long, Node> nodes = new LinkedHashMap<>();
     private List<Node> caches = new ArrayList<>();
@@ -180,8 +180,8 @@
     private final Table<Tally> unreported = new Table<>();
     private final Table<Long> beliefs = new Table<>(); // When a member was last known to hold a part.
     private final Map<Long, Long> purges = new LinkedHashMap<>();
-    private final double[] classWork;
-    private final long[] classSeen;
+    private double[] classWork = {}; // By the place of the class, as the next.
+    private long[] classSeen = {};
     private final Tally all = new Tally();
     private final double[] bore = new double[2]; // What a warm cache, and a warm parent, bore of late.
     private double retries = RETRY_MAX;
@@ -196,13 +196,18 @@
     private List<Action> actions = new ArrayList<>();
 
     public Logic(Settings settings, long seed) {
+        random = new Random(seed);
+        configure(settings);
+        fills = new Gate();
+    }
+
+    // At the start and anew: what was learned stays. Requests under way keep the class that they came with.
+    private void configure(Settings settings) {
         set = settings;
         boolean told = set.zone() >= 0 && set.zone() < set.seats().length && set.seats()[set.zone()] > 0;
         seats = told ? set.seats()[set.zone()] : Math.max(1, set.routers());
-        fills = new Gate();
-        random = new Random(seed);
-        classWork = new double[settings.classes().length];
-        classSeen = new long[settings.classes().length];
+        classWork = Arrays.copyOf(classWork, settings.classes().length);
+        classSeen = Arrays.copyOf(classSeen, settings.classes().length);
     }
 
     @Override
@@ -229,6 +234,8 @@
                 actions.add(new Watch());
             } else if (e instanceof Listed l) {
                 listed(l);
+            } else if (e instanceof Reconfigured c) {
+                configure(c.settings());
             } else if (e instanceof Purged p) {
                 purged(p);
             } else if (e instanceof PeerMessage m) {
--- a/src/main/java/pewtercourse/decision/Router.java
+++ b/src/main/java/pewtercourse/decision/Router.java
@@ -52,13 +52,23 @@
             double linkKbPerS, boolean canJoin, boolean mayPassBy, boolean mayTell, boolean parallelTries,
             boolean mayCancel, long maxRetryAfter, int tryLimit, boolean pushedLists, boolean weightsTold,
             Siblings siblings, Notes notes, ColdRule coldCache, ColdRule coldParent, long tipAfter,
-            long purgeTakes) { }
+            long purgeTakes) {
+        /** The same with these classes. */
+        public Settings with(RequestClass[] others) {
+            return new Settings(me, routers, zone, seats, others, clientKbPerS, linkKbPerS, canJoin, mayPassBy, mayTell,
+                    parallelTries, mayCancel, maxRetryAfter, tryLimit, pushedLists, weightsTold, siblings, notes,
+                    coldCache, coldParent, tipAfter, purgeTakes);
+        }
+    }
 
     /** A line of the list. {@code since}: time of its last start, 0 for long ago. */
     record Member(long id, int zone, Role role, int cell, State state, double weight, long since) { }
 
     sealed interface Event { }
 
+    /** New settings: a class keeps its place, so that what is under way keeps its class. */
+    record Reconfigured(Settings settings) implements Event { }
+
     record Listed(ListKind kind, List<Member> members) implements Event { }
 
     /** {@code sizeKb} 0: not told. {@code repeat}: the client marked it as its own retry. */
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import pewtercourse.Log;
@@ -41,13 +42,14 @@
     // An id is new with every request, so one that was answered before is no usual client's.
     private static final int ANSWERED_MOST = 4_096;
 
-    final SiteSettings site;
+    SiteSettings site; // As of the last file that was taken.
     final LongSupplier clock = new UnixClock();
     final Timers timers;
     final CachePool pool;
     final Roster roster;
     final boolean tracing = Boolean.getBoolean("pewtercourse.trace");
-    private final DirectorConfig config;
+    private DirectorConfig config;
+    private final Map<String, Integer> places; // Of the classes, also of those that have gone.
     private final Vertx vertx;
     private final Context context;
     private final Router router;
@@ -76,6 +78,7 @@
         this.context = vertx.getOrCreateContext();
         this.config = config;
         this.site = config.site();
+        this.places = new HashMap<>(site.classes());
         this.timers = Timers.of(vertx);
         this.pool = new CachePool(transport, timers, clock, (long) (IDLE_SHARE * site.idleClose()), config.cacheConnections());
         this.roster = new Roster(site, pool);
@@ -113,18 +116,32 @@
         feed.start();
     }
 
-    /** A new configuration, already checked: the feed moves at once, all else needs a restart and is named. */
+    /**
+     * A new configuration, already checked: its settings count and the feed moves at once; all else needs a restart and
+     * is named.
+     */
     public void reload(DirectorConfig to) {
         List<String> later = to.changedSince(config);
         if (!later.isEmpty()) {
             Log.warn("config.needs_restart", "keys", String.join(",", later));
         }
+        SiteSettings next = to.site().placed(places, site);
+        boolean listAnew = !next.namesAlike(site);
+        site = next;
+        tell(new Router.Reconfigured(next.router()));
+        pool.idleMost((long) (IDLE_SHARE * next.idleClose()));
+        roster.use(next);
+        if (listAnew) {
+            tell(roster.whole());
+        }
+        config = to;
         if (to.feed() != null && feed != null) {
             feed.move(to.feed());
         } else if (to.feed() != null) {
             follow(to.feed());
         }
-        Log.info("config.reloaded", "feed", to.feed());
+        Log.info("config.reloaded", "feed", to.feed(), "classes", String.join(",", new TreeSet<>(next.classes().keySet())),
+                "attempts", next.router().tryLimit());
     }
 
     /** Takes a member out by hand; false if none of this name is known. */
--- a/src/main/java/pewtercourse/director/Roster.java
+++ b/src/main/java/pewtercourse/director/Roster.java
@@ -15,7 +15,7 @@
  */
 final class Roster {
     private final Map<Long, FeedEvent.Host> hosts = new HashMap<>();
-    private final SiteSettings site;
+    private SiteSettings site;
     private final CachePool pool;
     private final OutByHand out = new OutByHand();
 
@@ -24,6 +24,16 @@
         this.pool = pool;
     }
 
+    /** New settings: names of zones and kinds may mean something else. */
+    void use(SiteSettings to) {
+        site = to;
+    }
+
+    /** The whole list in the module's terms. */
+    Router.Listed whole() {
+        return new Router.Listed(Router.ListKind.WHOLE, hosts.values().stream().map(this::member).toList());
+    }
+
     /** Applies a change and returns it in the module's terms. */
     Router.Listed apply(FeedEvent.Members change) {
         if (change.whole()) {
--- a/src/test/java/pewtercourse/MainTest.java
+++ b/src/test/java/pewtercourse/MainTest.java
@@ -92,6 +92,23 @@
         assertTrue(process.isAlive());
     }
 
+    @Test
+    void aFileThatIsCutOffOrLacksAKeyLeavesTheSettingsWhole() throws Exception {
+        JsonObject classless = config.copy();
+        classless.getJsonObject("settings").getJsonArray("Classes").getJsonObject(0).remove("Deadline");
+        for (String broken : List.of("", config.encode().substring(0, 500), classless.encode())) {
+            Files.writeString(file, broken);
+            signal("HUP");
+            heard("config.kept");
+        }
+        JsonObject next = config.copy();
+        next.getJsonObject("settings").getJsonArray("Classes").add(new JsonObject().put("Name", "menu-v2")
+                .put("Effect", "pure").put("Aim", 400.0).put("Deadline", 3000.0).put("Worth", 1.0));
+        Files.writeString(file, next.encode());
+        signal("HUP");
+        assertTrue(heard("config.reloaded").contains("classes=menu-media,menu-page,menu-v2,place-order"));
+    }
+
     @Test
     void moreConnectionsThanDescriptorsDoNotEndTheListener() throws Exception {
         CompletableFuture.runAsync(() -> log.lines().forEach(l -> { })); // A full pipe would stop it.
