--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,4 +1,4 @@
-#!/bin/sh
+#!/bin/bash
 # Starts one director with memory areas that fit limits.memory_mb of its configuration. Besides them the JVM needs
 # about 30 MB. One process from beginning to end: where no other program may be started, sed or a subshell would fail
 # and leave the default; exec, so that signals reach the director itself. Descriptor 0 may be the clients' socket, so
@@ -7,6 +7,8 @@
 if [ -r "$GW_CONFIG" ]; then
   set -f
   key=
+  # The file is read by blocks: bash does, other shells read each byte by a call of its own, and a long list of caches
+  # then takes longer than a start may where calls are slow.
   # Words between the marks of JSON, blanks among them: the number after the key, on its line or a later one. Split
   # in one pass, as patterns take time by the square of a line's length.
   blanks=$IFS
--- a/src/test/java/pewtercourse/RunScriptTest.java
+++ b/src/test/java/pewtercourse/RunScriptTest.java
@@ -1,6 +1,7 @@
 package pewtercourse;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -32,7 +33,7 @@
             Files.writeString(file, config);
         }
         Path input = Files.writeString(folder.resolve("input"), "untouched\n");
-        ProcessBuilder b = new ProcessBuilder("/bin/sh", "deploy/run.sh");
+        ProcessBuilder b = new ProcessBuilder("/bin/bash", "deploy/run.sh");
         b.environment().put("PATH", folder.toString());
         b.environment().put("GW_CONFIG", file.toString());
         Process p = b.redirectInput(input.toFile()).redirectErrorStream(true).start();
@@ -42,6 +43,16 @@
         return out.replaceFirst(".*-Xmx(\\d+)m.*", "$1");
     }
 
+    // Where each call of the system is slow, 35,000 of them were a start that took too long: a crash of all directors.
+    @Test
+    void aLongFileIsReadInBlocks() throws Exception {
+        assertTrue(Files.readString(Path.of("deploy/balancer.toml")).contains("run = \"exec bash deploy/run.sh\""),
+                "other shells read byte by byte");
+        String list = "{\"host\":\"s-00000001\",\"dial\":\"127.0.0.1:9001\"},".repeat(2_000);
+        String of100 = run("{\"limits\":{\"memory_mb\":100}}");
+        assertEquals(of100, run("{\"known\":[" + list + "{}],\"limits\":{\"memory_mb\":100}}"));
+    }
+
     @Test
     void theLimitIsFoundHoweverTheFileIsLaidOut() throws Exception {
         String of100 = run("{\"limits\":{\"cores\":1,\"memory_mb\":100,\"sockets\":1}}\n");
