Repeat attempts sooner where answers get lost; count withdrawn requests as failed

A probe at giveUp: 660 of 940 refusals came at the end of the client's time after one attempt, 640 attempts got no answer at all, 9 were withdrawn as overdue; 270 more by the gate of fills, in which lost attempts take up room. Answers that came took 1.36 times the usual time at the 99th percentile, but an attempt was overdue after 2.5 times and 100 ms, when another could seldom be in time.

--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -70,6 +70,9 @@
     // a lost answer is repeated while its aim still runs. Usual times count this much for the way.
     private static final double OVERDUE = 2.5, USUAL_LEAST = 40_000;
     private static final long OVERDUE_FLOOR = 100_000;
+    // Share of overdue attempts that were never answered from which answers count as lost, not slow; then an
+    // attempt is overdue after this share of its time, and made again also where only late worth is left.
+    private static final double LOST_SEEN = 0.5, LOST_DUE = 0.5;
     private static final double LAG = 2.5; // Times slower than its peers: a late answer is then a failure.
     // Weight of the newest sample in running means of fills, and of a member's pace and failures.
     private static final double GAIN = 0.1, HEALTH_GAIN = 0.2;
@@ -184,7 +187,7 @@
     private long[] classSeen = {};
     private final Tally all = new Tally();
     private final double[] bore = new double[2]; // What a warm cache, and a warm parent, bore of late.
-    private double retries = RETRY_MAX;
+    private double retries = RETRY_MAX, lost; // lost: share of overdue attempts that were never answered.
     private final Gate fills;
     private double fillWait = 50_000;
     // Share of the attempts not believed to hit that did fill: the fewer a router's beliefs, the more hit.
@@ -516,6 +519,8 @@
         r.live--;
         if (!t.quiet) {
             release(t);
+        } else if (o.ending() != Ending.CANCELLED) {
+            lost += HEALTH_GAIN * ((o.ending() == Ending.OK ? 0 : 1) - lost);
         }
         boolean neverRan = o.ending() == Ending.FULL || o.ending() == Ending.CONNECT_FAILED
                 || o.ending() == Ending.MOOT || o.ending() == Ending.MISS;
@@ -873,6 +878,7 @@
         }
         bore[0] = Math.max(bore[0] * BORE_FADES, borneByWarm(caches, bore[0]));
         bore[1] = Math.max(bore[1] * BORE_FADES, borneByWarm(parents, bore[1]));
+        lost *= BORE_FADES;
         purges.values().removeIf(at -> now - at > set.purgeTakes() + 2 * TICK);
         if (set.mayTell() && set.routers() > 1 && now >= nextReport) {
             report();
@@ -901,7 +907,7 @@
                 if (set.parallelTries()) {
                     retries--;
                     advance(r);
-                } else if (set.mayCancel() && (t.node.until > 0 || now + t.usual < t.at + aim(r))) {
+                } else if (set.mayCancel() && (t.node.until > 0 || lost > LOST_SEEN || now + t.usual < t.at + aim(r))) {
                     actions.add(new Cancel(r.asks.id(), r.tries.indexOf(t)));
                 }
             }
@@ -909,7 +915,8 @@
     }
 
     private long due(Try t) {
-        return t.at + OVERDUE_FLOOR + (long) (OVERDUE * Math.max(1, t.node.pace) * t.usual);
+        double share = lost > LOST_SEEN ? LOST_DUE : 1;
+        return t.at + (long) (share * (OVERDUE_FLOOR + OVERDUE * Math.max(1, t.node.pace) * t.usual));
     }
 
     private void suspect(Try t) {
@@ -954,8 +961,7 @@
 
     private int own(long object, int more) {
         Tally t = tally(owned, object);
-        t.own = Math.min(COUNT_MAX, t.own + more);
-        return t.own;
+        return t.own = Math.min(COUNT_MAX, t.own + more);
     }
 
     private static ByteBuffer entry(ByteBuffer to, byte kind, long object, int n) {
--- a/src/main/java/pewtercourse/director/Figures.java
+++ b/src/main/java/pewtercourse/director/Figures.java
@@ -11,7 +11,7 @@
 
 /**
  * What operators read. Requests are counted here and nowhere else: each is open from when it is handed on until its one
- * answer or its client's leaving. Knows no sockets.
+ * answer or its client's leaving, which counts as failed. Knows no sockets.
  */
 public final class Figures {
     /** The figures that others own, as of now. */
@@ -44,7 +44,7 @@
                     answer.accept(a);
                 });
                 return () -> {
-                    one.end();
+                    one.answered(Answer.Kind.FAILED); // Withdrawn before it was answered: nobody was served.
                     gone.run();
                 };
             }
@@ -74,7 +74,7 @@
 
         void answered(Answer.Kind kind) {
             if (!end()) {
-                return; // Its client had left: it stands under no count.
+                return; // It ended before, and is counted.
             }
             switch (kind) {
                 case SERVED, SAME -> of.fulfilled++;
--- a/src/test/java/pewtercourse/decision/LogicTest.java
+++ b/src/test/java/pewtercourse/decision/LogicTest.java
@@ -1010,6 +1010,44 @@
         }
     }
 
+    @Test
+    void whereAnswersGetLostAnAttemptIsMadeAgainSooner() {
+        Bench b = new Bench();
+        b.parallel = false;
+        b.start(Bench.all());
+        assertTrue(cancelled(b, "fresh").isEmpty(), "a slow answer is waited for");
+        for (int i = 0; i < 6; i++) {
+            Send s = b.sent("lost" + i);
+            for (int k = 0; k < 12; k++) {
+                b.ok(b.sent("well" + i + "-" + k), Note.HIT); // The caches are well.
+            }
+            b.sweep(600 * Bench.MS); // Overdue, and too late to be made again inside its aim.
+            b.now += 2_400 * Bench.MS;
+            b.end(s, 0, Ending.TIMEOUT, Note.NONE);
+        }
+        Send s = b.sent("again");
+        for (int k = 0; k < 12; k++) {
+            b.ok(b.sent("well-" + k), Note.HIT);
+        }
+        assertEquals(1, Bench.all(b.sweep(60 * Bench.MS), Router.Cancel.class).size(), "lost, not slow");
+        Send next = Bench.send(b.end(s, 0, Ending.CANCELLED, Note.NONE));
+        assertTrue(next.member() != s.member());
+        for (int i = 0; i < 6 * 60 * 50; i++) {
+            b.sweep(20 * Bench.MS); // Six minutes on: what was seen has faded.
+        }
+        assertTrue(cancelled(b, "later").isEmpty());
+    }
+
+    private static List<Router.Cancel> cancelled(Bench b, String object) {
+        Send s = b.sent(object);
+        for (int k = 0; k < 12; k++) {
+            b.ok(b.sent(object + k), Note.HIT);
+        }
+        List<Router.Cancel> found = Bench.all(b.sweep(60 * Bench.MS), Router.Cancel.class);
+        b.end(s, 0, Ending.OK, Note.HIT);
+        return found;
+    }
+
     @Test
     void theModuleStaysShortAndNamesItsInterface() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/pewtercourse/decision/Logic.java"), StandardCharsets.UTF_8);
