--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -187,7 +187,7 @@
     private long[] classSeen = {};
     private final Tally all = new Tally();
     private final double[] bore = new double[2]; // What a warm cache, and a warm parent, bore of late.
-    private double retries = RETRY_MAX, lost; // lost: share of overdue attempts that were never answered.
+    private double retries = RETRY_MAX, lost; // lost: share of overdue attempts never answered.
     private final Gate fills;
     private double fillWait = 50_000;
     // Share of the attempts not believed to hit that did fill: the fewer a router's beliefs, the more hit.
