--- a/src/main/java/pewtercourse/director/Exchange.java
+++ b/src/main/java/pewtercourse/director/Exchange.java
@@ -150,7 +150,7 @@
     // ---- No request is lost, whatever broke ----
     private void unanswered() {
         Log.warn("request.unanswered", "id", request.id(), "class", request.className(), "attempts", attempts,
-                "out", attempt != null);
+                "out", attempt != null, "late_ms", (director.clock.getAsLong() - expires) / 1000);
         abandon();
     }
 
