Send one attempt at once to each cache while all look ill; don't take an outage for lost answers

Six of 14 directors stand at the zone that is lost. Counted over these six from a trace: 2,300 refusals in the 5 s, 36 attempts at a time waiting at each dead cache (six directors, each its whole gate: 'out 7/6.9 ... until 1878 fail 1.00'), 1,700 connection attempts, 850 withdrawn ones. After the return 'lost 1.00' stands for 30 s and more: attempts are then repeated after half their time, 120 in 3 s, at caches that are cold. Faulty lines: the third pass of pickCache, which takes any cache up to its gate; outcome(), which counts what a silent member never answered, and connections that never came up, as lost answers. Changed: where all look ill each gets one attempt at once, more as its answers come back; only members that answer others can lose an answer. Both tests fail without it.

--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -70,8 +70,8 @@
     // a lost answer is repeated while its aim still runs. Usual times count this much for the way.
     private static final double OVERDUE = 2.5, USUAL_LEAST = 40_000;
     private static final long OVERDUE_FLOOR = 100_000;
-    // Share of overdue attempts that were never answered from which answers count as lost, not slow; then an
-    // attempt is overdue after this share of its time, and made again also where only late worth is left.
+    // Share of overdue attempts never answered, at members that answer others, from which answers count as
+    // lost, not slow; an attempt is then due after this share of its time, and made again for late worth too.
     private static final double LOST_SEEN = 0.5, LOST_DUE = 0.5;
     private static final double LAG = 2.5; // Times slower than its peers: a late answer is then a failure.
     // Weight of the newest sample in running means of fills, and of a member's pace and failures.
@@ -363,7 +363,7 @@
                 }
                 boolean crowded = c.gate.out > LOAD_FLOOR && c.gate.out > LOAD_BOUND * out * size(c) / total;
                 boolean first = !crowded && sure(r, c);
-                if (pass == 2 || !r.failed.contains(c) && healthy(c) && (pass == 1 || first)) {
+                if (pass == 2 ? mayTryIll(c) : !r.failed.contains(c) && healthy(c) && (pass == 1 || first)) {
                     return c;
                 }
             }
@@ -371,6 +371,12 @@
         return null;
     }
 
+    // Where all look ill, each gets as many at once as its share of answers lets hope for, at least one.
+    // Guards against the attempts that all routers have waiting at a dead cache toppling it as it returns.
+    private static boolean mayTryIll(Node c) {
+        return c.until == 0 || c.gate.out < Math.max(1, c.gate.limit * (1 - c.failing));
+    }
+
     private double large(Open r) {
         return r.work / classWork[r.asks.cls()];
     }
@@ -421,12 +427,7 @@
 
     // Whether a parent fails while others don't: what fails at all of them is the origin's fault.
     private boolean failsAlone(Node parent) {
-        for (Node p : parents) {
-            if (p != parent && p.until == 0 && p.failing < FAIL_LIMIT / 2) {
-                return true;
-            }
-        }
-        return false;
+        return parents.stream().anyMatch(p -> p != parent && p.until == 0 && p.failing < FAIL_LIMIT / 2);
     }
 
     // ---- Sending ----
@@ -518,7 +519,7 @@
         r.live--;
         if (!t.quiet) {
             release(t);
-        } else if (o.ending() != Ending.CANCELLED) {
+        } else if (o.ending() != Ending.CANCELLED && t.node.lastAnswer >= t.at) {
             lost += HEALTH_GAIN * ((o.ending() == Ending.OK ? 0 : 1) - lost);
         }
         boolean neverRan = o.ending() == Ending.FULL || o.ending() == Ending.CONNECT_FAILED
--- a/src/test/java/pewtercourse/decision/LogicTest.java
+++ b/src/test/java/pewtercourse/decision/LogicTest.java
@@ -626,6 +626,40 @@
         assertEquals(1, all(b.ask("z"), Send.class).size());
     }
 
+    @Test
+    void aDeadZoneHoldsOneAttemptACacheUntilItAnswers() {
+        Bench b = new Bench().start(Bench.all());
+        long caches = List.of(Bench.all()).stream().filter(m -> m.role() == Router.Role.CACHE).count();
+        for (int i = 0; i < 200; i++) {
+            int attempt = 0;
+            for (List<Send> next = all(b.ask("dead" + i), Send.class); !next.isEmpty();) {
+                next = all(b.end(next.get(0), attempt++, Ending.CONNECT_FAILED, Note.NONE), Send.class);
+            }
+        }
+        List<Send> out = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            List<Action> to = b.ask("waits" + i);
+            out.addAll(all(to, Send.class));
+            assertEquals(1, all(to, Send.class).size() + all(to, Router.Refuse.class).size(), "sent, or refused at once");
+        }
+        assertEquals(caches, out.stream().map(Send::member).distinct().count());
+        assertEquals(caches, out.size(), "one a cache: all routers' attempts come up at once when it returns");
+        // It answers: more, step by step, before its wait is over.
+        for (Send s : out) {
+            b.end(s, 0, Ending.OK, Note.FILLED);
+        }
+        for (int i = 0; i < 12; i++) {
+            for (Send s : all(b.ask("back" + i), Send.class)) {
+                b.end(s, 0, Ending.OK, Note.FILLED);
+            }
+        }
+        long more = 0;
+        for (int i = 0; i < 100; i++) {
+            more += all(b.ask("more" + i), Send.class).size();
+        }
+        assertTrue(more > 2 * caches, more + " at once");
+    }
+
     @Test
     void overloadIsRefusedEarlyWithAdvice() {
         Bench b = new Bench().start(Bench.all());
@@ -1038,6 +1072,24 @@
         assertTrue(cancelled(b, "later").isEmpty());
     }
 
+    @Test
+    void anOutageIsNotTakenForLostAnswers() {
+        Bench b = new Bench();
+        b.parallel = false;
+        b.start(Bench.all());
+        for (int i = 0; i < 12; i++) {
+            Send s = b.sent("silent" + i);
+            b.sweep(600 * Bench.MS);
+            b.now += 2_400 * Bench.MS;
+            b.end(s, 0, Ending.TIMEOUT, Note.NONE); // Nobody answered anything meanwhile.
+        }
+        b.now += 10_000 * Bench.MS;
+        for (int i = 0; i < 40; i++) {
+            b.ok(b.sent("back" + i), Note.HIT);
+        }
+        assertTrue(cancelled(b, "slow").isEmpty(), "a slow answer is waited for, as before the outage");
+    }
+
     private static List<Router.Cancel> cancelled(Bench b, String object) {
         Send s = b.sent(object);
         for (int k = 0; k < 12; k++) {
