Send no request a third time to a cache that turned it away while the others have no room

Faulty line: the last pass of pickCache takes a cache that has failed the request already. Changed: two of a cache's refusals, by two ways, end it; an overdue attempt counts once. The list is split by one filter.

--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -4,11 +4,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * All decisions of one router. Its types, events and actions are in Router.java. The sections follow a
@@ -362,8 +365,8 @@
                     continue;
                 }
                 boolean crowded = c.gate.out > LOAD_FLOOR && c.gate.out > LOAD_BOUND * out * size(c) / total;
-                boolean first = !crowded && sure(r, c);
-                if (pass == 2 ? mayTryIll(c) : !r.failed.contains(c) && healthy(c) && (pass == 1 || first)) {
+                boolean well = !r.failed.contains(c) && healthy(c) && (pass == 1 || !crowded && sure(r, c));
+                if (pass == 2 ? lastResort(r, c) : well) {
                     return c;
                 }
             }
@@ -371,10 +374,12 @@
         return null;
     }
 
-    // Where all look ill, each gets as many at once as its share of answers lets hope for, at least one.
-    // Guards against the attempts that all routers have waiting at a dead cache toppling it as it returns.
-    private static boolean mayTryIll(Node c) {
-        return c.until == 0 || c.gate.out < Math.max(1, c.gate.limit * (1 - c.failing));
+    // Where all look ill, each gets as many at once as its share of answers lets hope for, at least one; and
+    // no request goes to one a third time. Guards against all routers' waiting attempts toppling a dead cache
+    // as it returns, and against asking one that turns all away on and on while the others have no room.
+    private static boolean lastResort(Open r, Node c) {
+        return Collections.frequency(r.failed, c) < 2
+                && (c.until == 0 || c.gate.out < Math.max(1, c.gate.limit * (1 - c.failing)));
     }
 
     private double large(Open r) {
@@ -627,7 +632,7 @@
             if (o.note() == Note.SOURCE_FAILED || o.note() == Note.SOURCE_REFUSED) {
                 judge(t.source, true);
             }
-        } else if (end != Ending.MISS || t.source != t.node) {
+        } else if (!t.quiet && (end != Ending.MISS || t.source != t.node)) {
             r.failed.add(t.node);
         }
     }
@@ -856,21 +861,17 @@
             n.is = m;
             nodes.put(m.id(), n);
         }
-        caches = new ArrayList<>();
-        parents = new ArrayList<>();
-        origin = null;
-        for (Node n : nodes.values()) {
-            if (n.is.role() == Role.CACHE && n.is.zone() == set.zone()) {
-                caches.add(n);
-            } else if (n.is.role() == Role.PARENT) {
-                parents.add(n);
-            } else if (n.is.role() == Role.ORIGIN && (origin == null || n.is.id() < origin.is.id())) {
-                origin = n;
-            }
-        }
+        caches = listed(n -> n.is.role() == Role.CACHE && n.is.zone() == set.zone());
+        parents = listed(n -> n.is.role() == Role.PARENT);
+        origin = listed(n -> n.is.role() == Role.ORIGIN).stream()
+                .min(Comparator.comparingLong(n -> n.is.id())).orElse(null);
         mostCaches = Math.max(mostCaches, caches.size());
     }
 
+    private List<Node> listed(Predicate<Node> which) {
+        return nodes.values().stream().filter(which).collect(Collectors.toCollection(ArrayList::new));
+    }
+
     // ---- Housekeeping ----
     private void sweep() {
         for (Open r : new ArrayList<>(open.values())) {
--- a/src/test/java/pewtercourse/decision/LogicTest.java
+++ b/src/test/java/pewtercourse/decision/LogicTest.java
@@ -660,6 +660,32 @@
         assertTrue(more > 2 * caches, more + " at once");
     }
 
+    @Test
+    void whatACacheTurnsAwayTwiceIsNotSentThereAgainThoughTheOthersHaveNoRoom() {
+        Bench b = new Bench();
+        b.weightsTold = false;
+        Member[] few = {cache(1), as(cache(2), State.READY, START - 1000 * MS), as(cache(3), State.READY, START - 1000 * MS),
+            parent(11), parent(12), Bench.ORIGIN};
+        b.start(few);
+        for (int i = 0; i < 60; i++) {
+            Send s = b.sent("fills" + i); // The cold ones have had what they have room for.
+            b.end(s, 0, Ending.OK, Note.FILLED);
+        }
+        List<Integer> sent = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            int attempt = 0;
+            sent.add(0);
+            for (List<Send> next = all(b.ask("full" + i), Send.class); !next.isEmpty();) {
+                boolean warm = next.get(0).member() == 1;
+                sent.set(i, sent.get(i) + (warm ? 1 : 0));
+                next = all(b.end(next.get(0), attempt++, warm ? Ending.FULL : Ending.OK, Note.NONE), Send.class);
+            }
+            b.now += 5 * MS;
+        }
+        assertTrue(sent.stream().allMatch(n -> n <= 2), "attempts of each: " + sent);
+        assertTrue(sent.contains(2), "by another way once: " + sent);
+    }
+
     @Test
     void overloadIsRefusedEarlyWithAdvice() {
         Bench b = new Bench().start(Bench.all());
