Call the control feed again after a random wait; find a peer by its address in one step

Seen in the source: all directors that lose the feed in one instant called it again after 50, 100, 200, 400 and 500 ms, in step, and a message of a peer was looked up along the whole list of peers. Faulty lines: FeedClient.ended, which doubled a fixed wait; PeerSocket.take, a loop over the peers. Changed: each wait is drawn from 50 ms up to three times the one before, 500 at most, reset by an event; a map by address. The feed's test fails without it (100 directors' first calls fall on one millisecond); the peers' holds the behaviour.

--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -112,7 +113,8 @@
     }
 
     private void follow(InetSocketAddress at) {
-        feed = new FeedClient(new HttpFeedTransport(vertx), timers, at, config.knownNumber(), this::feed);
+        feed = new FeedClient(new HttpFeedTransport(vertx), timers, at, config.knownNumber(),
+                new Random(config.seed()), this::feed);
         feed.start();
     }
 
--- a/src/main/java/pewtercourse/feed/FeedClient.java
+++ b/src/main/java/pewtercourse/feed/FeedClient.java
@@ -3,6 +3,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
 import java.net.InetSocketAddress;
+import java.util.Random;
 import java.util.function.Consumer;
 import pewtercourse.Log;
 import pewtercourse.Timers;
@@ -15,6 +16,9 @@
  */
 public final class FeedClient {
     private static final long SILENCE_MS = 2_500, AGAIN_FIRST_MS = 50, AGAIN_MOST_MS = 500;
+    // Each wait is drawn from the shortest up to this multiple of the one before (decorrelated jitter). Guards against
+    // a whole fleet, which loses the feed in one instant, calling it again in step.
+    private static final long AGAIN_SPREAD = 3;
     // An event that can't be read, or is missing, is asked for this often, then passed over: one that stays bad
     // must not keep out all that follow.
     private static final int ASK_AGAIN = 3;
@@ -22,13 +26,15 @@
     private final FeedTransport transport;
     private final Timers timers;
     private final Consumer<FeedEvent> handler;
+    private final Random random;
     private InetSocketAddress address;
     private long seen, again = AGAIN_FIRST_MS, retry = -1;
     private int asked;
     private Link current, before;
 
     public FeedClient(FeedTransport transport, Timers timers, InetSocketAddress address, long seen,
-            Consumer<FeedEvent> handler) {
+            Random random, Consumer<FeedEvent> handler) {
+        this.random = random;
         this.transport = transport;
         this.timers = timers;
         this.address = address;
@@ -136,8 +142,8 @@
             end();
             Log.warn("feed.lost", "why", why, "seen", seen);
             if (this == current) {
+                again = Math.min(AGAIN_MOST_MS, random.nextLong(AGAIN_FIRST_MS, AGAIN_SPREAD * again + 1));
                 retry = timers.set(again, FeedClient.this::start);
-                again = Math.min(AGAIN_MOST_MS, again * 2);
             }
         }
 
--- a/src/main/java/pewtercourse/peer/PeerSocket.java
+++ b/src/main/java/pewtercourse/peer/PeerSocket.java
@@ -7,7 +7,9 @@
 import io.vertx.core.datagram.DatagramSocket;
 import io.vertx.core.datagram.DatagramSocketOptions;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BiConsumer;
 import pewtercourse.Log;
 
@@ -17,6 +19,7 @@
 
     private final DatagramSocket socket;
     private final List<InetSocketAddress> peers;
+    private final Map<String, Integer> numbers = new HashMap<>(); // By address: a message costs the same in any fleet.
     private final BiConsumer<Integer, byte[]> handler;
 
     /** {@code shared}: two processes may hold the address for a while; messages reach the one that came last. */
@@ -24,6 +27,13 @@
         this.socket = vertx.createDatagramSocket(new DatagramSocketOptions().setReuseAddress(shared));
         this.peers = peers;
         this.handler = handler;
+        for (int i = 0; i < peers.size(); i++) {
+            numbers.putIfAbsent(key(peers.get(i).getAddress().getHostAddress(), peers.get(i).getPort()), i);
+        }
+    }
+
+    private static String key(String host, int port) {
+        return host + ':' + port;
     }
 
     public Future<DatagramSocket> listen(InetSocketAddress at) {
@@ -37,17 +47,12 @@
     }
 
     private void take(DatagramPacket packet) {
-        for (int i = 0; i < peers.size(); i++) {
-            InetSocketAddress p = peers.get(i);
-            if (p.getPort() == packet.sender().port()
-                    && p.getAddress().getHostAddress().equals(packet.sender().host())) {
-                if (packet.data().length() <= MESSAGE_MOST) {
-                    handler.accept(i, packet.data().getBytes());
-                }
-                return;
-            }
+        Integer from = numbers.get(key(packet.sender().host(), packet.sender().port()));
+        if (from == null) {
+            Log.counted("peer.stranger", "from", packet.sender());
+        } else if (packet.data().length() <= MESSAGE_MOST) {
+            handler.accept(from, packet.data().getBytes());
         }
-        Log.counted("peer.stranger", "from", packet.sender());
     }
 
     public void send(int peer, byte[] bytes) {
--- a/src/test/java/pewtercourse/feed/FeedModelTest.java
+++ b/src/test/java/pewtercourse/feed/FeedModelTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.stream.LongStream;
 import net.jqwik.api.Arbitraries;
@@ -41,10 +42,15 @@
         final List<Long> applied = new ArrayList<>();
         final Map<Long, Runnable> timers = new TreeMap<>();
         long nextTimer;
+        final List<Long> waits = new ArrayList<>();
         int port = 1;
         final FeedClient client;
 
         Model() {
+            this(7);
+        }
+
+        Model(long seed) {
             client = new FeedClient((to, last, heard) -> {
                 Call c = new Call(to, last, heard);
                 calls.add(c);
@@ -53,6 +59,7 @@
                 @Override
                 public long set(long delayMs, Runnable then) {
                     timers.put(++nextTimer, then);
+                    waits.add(delayMs);
                     return nextTimer;
                 }
 
@@ -60,7 +67,7 @@
                 public void cancel(long timer) {
                     timers.remove(timer);
                 }
-            }, at(port), 0, e -> applied.add(e.number()));
+            }, at(port), 0, new Random(seed), e -> applied.add(e.number()));
             client.start();
         }
 
@@ -168,6 +175,33 @@
         assertEquals(List.of(1L, 2L), m.applied);
     }
 
+    /** The feed dies under a fleet: nobody calls it in step, all within the bound, and soon again once it told something. */
+    @Example
+    void aFleetThatLosesItsFeedDoesNotCallItInStep() {
+        Map<Long, Integer> first = new TreeMap<>();
+        for (int director = 0; director < 100; director++) {
+            Model m = new Model(director);
+            m.tell(0, "whole");
+            for (int i = 0; i < 20; i++) {
+                m.waits.clear();
+                m.tell(0, "break");
+                long wait = m.waits.get(m.waits.size() - 1);
+                assertTrue(wait >= 50 && wait <= 500, "waits " + wait);
+                assertTrue(i > 0 || wait <= 150, "the first wait is " + wait);
+                if (i == 0) {
+                    first.merge(wait, 1, Integer::sum);
+                }
+                m.timer(m.timers.size() - 1);
+            }
+            m.tell(0, "whole");
+            m.waits.clear();
+            m.tell(0, "break");
+            assertTrue(m.waits.get(m.waits.size() - 1) <= 150, "not reset by an event");
+        }
+        assertTrue(first.size() > 30, "calls at " + first.size() + " times only");
+        assertTrue(first.values().stream().allMatch(n -> n < 10), "in step: " + first);
+    }
+
     @Example
     void anEventThatStaysBadIsPassedOverInTheEnd() {
         Model m = new Model();
