--- /dev/null
+++ b/src/main/java/pewtercourse/Agreement.java
@@ -0,0 +1,144 @@
+package pewtercourse;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.util.Map;
+import pewtercourse.admin.ClusterCalls;
+import pewtercourse.admin.Operations.Verdict;
+import pewtercourse.cluster.Cluster;
+import pewtercourse.cluster.ClusterHost;
+import pewtercourse.config.ClusterConfig;
+import pewtercourse.director.Director;
+import pewtercourse.duty.Command;
+import pewtercourse.duty.DutyState;
+import pewtercourse.handover.OperatorState;
+
+/** A director and its cluster: what operators tell the one is agreed by the other, and comes back to count. */
+final class Agreement implements ClusterCalls, ClusterHost {
+    private final Director director;
+    private final Cluster cluster;
+    private double part = 1;
+
+    Agreement(Vertx vertx, ClusterConfig config, Director director) {
+        this.director = director;
+        this.cluster = new Cluster(vertx, config, this);
+    }
+
+    Future<Void> start() {
+        return cluster.start();
+    }
+
+    void close() {
+        cluster.close();
+    }
+
+    void willing(boolean on) {
+        cluster.willing(on);
+    }
+
+    boolean handedOn() {
+        return cluster.handedOn();
+    }
+
+    // ---- What operators say ----
+
+    /** Agreed, and with a warden let as well; done once this director goes by it. */
+    Future<Verdict> takeOut(String target) {
+        long now = System.currentTimeMillis();
+        if (!cluster.hasWarden()) {
+            return agreed("operator.out", target, new Command.Out(target, now));
+        }
+        return agreed("operator.asked", target, new Command.Ask(target, zoneOf(target), now)).compose(v -> {
+            if (v != Verdict.DONE) {
+                return Future.succeededFuture(v);
+            }
+            return cluster.let(target).compose(let -> let ? Future.succeededFuture(Verdict.DONE) : turnedDown(target));
+        });
+    }
+
+    // It is not out, and whoever asked is told so: its place in the line is kept, or given up.
+    private Future<Verdict> turnedDown(String target) {
+        DutyState.Ticket t = cluster.state().ticketOf(target);
+        if (t == null || cluster.wardenWaits()) {
+            long before = t == null ? 0 : cluster.state().tickets().headMap(t.number()).values().stream()
+                    .filter(o -> !o.let() && o.zone().equals(t.zone())).count();
+            return Future.succeededFuture(Verdict.refused("not out: as many of its zone are out as may be; it waits, "
+                    + before + " before it: call again, or call it back"));
+        }
+        return cluster.agree(new Command.Withdraw(target, t.number(), 0, System.currentTimeMillis()))
+                .map(r -> Verdict.refused("not out: as many of its zone are out as may be"))
+                .otherwise(e -> Verdict.refused("not out yet, and may be later: " + e.getMessage()));
+    }
+
+    Future<Verdict> putBack(String target) {
+        return agreed("operator.in", target, new Command.Back(target, System.currentTimeMillis()));
+    }
+
+    private Future<Verdict> agreed(String event, String target, Command c) {
+        return cluster.agree(c).map(r -> r.done() ? Verdict.DONE : Verdict.refused(r.why()))
+                .otherwise(e -> Verdict.refused("not agreed: " + e.getMessage()))
+                .onSuccess(v -> {
+                    if (v.refused() == null) {
+                        Log.info(event, "target", target);
+                    } else {
+                        Log.warn("operator.refused", "call", event, "target", target, "why", v.refused());
+                    }
+                });
+    }
+
+    @Override
+    public Future<JsonObject> status() {
+        return cluster.confirm().map(cluster::status);
+    }
+
+    @Override
+    public Future<String> handOn(String duty, String to) {
+        return cluster.handOn(duty, to).map(DutyState.Result::why);
+    }
+
+    @Override
+    public String transfer(String to) {
+        return cluster.transfer(to);
+    }
+
+    @Override
+    public String add(String name, String address) {
+        return cluster.add(name, address);
+    }
+
+    @Override
+    public String remove(String name) {
+        return cluster.remove(name);
+    }
+
+    // ---- What the cluster asks ----
+
+    @Override
+    public void agreed(Map<String, Long> out, Map<String, Long> back) {
+        director.follow(new OperatorState(ProcessHandle.current().pid(), false, out, back));
+    }
+
+    @Override
+    public String zoneOf(String target) {
+        return director.zoneOf(target);
+    }
+
+    @Override
+    public int zoneSize(String zone) {
+        return director.zoneSize(zone);
+    }
+
+    @Override
+    public void part(double factor) {
+        if (factor != part) {
+            part = factor;
+            director.part(factor);
+        }
+    }
+
+    @Override
+    public double coldWanted() {
+        return director.coldWanted();
+    }
+}
--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -1,6 +1,7 @@
 package pewtercourse;
 
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
@@ -11,6 +12,7 @@
 import java.util.logging.LogRecord;
 import java.util.logging.SimpleFormatter;
 import pewtercourse.bench.BenchLink;
+import pewtercourse.config.ClusterConfig;
 import pewtercourse.config.ConfigException;
 import pewtercourse.config.DirectorConfig;
 import pewtercourse.handover.InheritedSocket;
@@ -18,7 +20,7 @@
 
 /**
  * Command line: {@code serve} is a real director, {@code benchlink} speaks the simulator's wire on standard
- * input and output, {@code rehearse} serves one request to itself for the build.
+ * input and output, {@code rehearse} serves one request to itself for the build. The others are in {@link CommandLine}.
  */
 public final class Main {
     // After SIGTERM connections still come for 0.4 s, and requests on open ones for 0.2 s more.
@@ -26,6 +28,8 @@
     // another process accepts: this one ends once its clients are gone.
     private static final long ACCEPT_MS = 400, READ_MS = 200, SPARE_MS = 150, POLL_MS = 10, END_MOST_MS = 6_000;
 
+    private static final int UNUSABLE = 2;
+
     private static DirectorConfig running; // The last file that was taken.
 
     private Main() { }
@@ -35,10 +39,7 @@
             case "serve" -> serve();
             case "benchlink" -> benchlink();
             case "rehearse ..." -> rehearse(args[1]);
-            default -> {
-                System.err.println("usage: java -jar pewtercourse.jar serve|benchlink|rehearse CONFIG");
-                System.exit(2);
-            }
+            default -> System.exit(CommandLine.run(args));
         }
     }
 
@@ -56,9 +57,11 @@
 
     private static void serve() {
         DirectorConfig config;
+        ClusterConfig cluster;
         InheritedSocket socket;
         try {
             config = DirectorConfig.fromEnvironment(System.getenv());
+            cluster = ClusterConfig.fromEnvironment(System.getenv());
             socket = InheritedSocket.from(System.getenv());
         } catch (ConfigException e) {
             Log.warn("config.unusable", "key", e.getMessage());
@@ -70,7 +73,7 @@
         new SimpleFormatter().format(new LogRecord(Level.WARNING, "ready"));
         Vertx vertx = vertx(socket);
         vertx.exceptionHandler(e -> Log.error("loop.unexpected", e));
-        vertx.getOrCreateContext().runOnContext(v -> start(vertx, config, socket));
+        vertx.getOrCreateContext().runOnContext(v -> start(vertx, config, cluster, socket));
     }
 
     private static void rehearse(String config) {
@@ -90,7 +93,7 @@
         return socket == null ? Vertx.vertx(options) : Vertx.builder().with(options).withTransport(socket).build();
     }
 
-    private static void start(Vertx vertx, DirectorConfig config, InheritedSocket socket) {
+    private static void start(Vertx vertx, DirectorConfig config, ClusterConfig cluster, InheritedSocket socket) {
         running = config;
         Service service = new Service(vertx, config, socket);
         // Before anybody can know that it listens: a signal that comes first would end the program at once.
@@ -98,7 +101,10 @@
         Signal.handle(new Signal("HUP"), s -> reload(loop, service));
         Thread hook = new Thread(() -> drain(vertx, service), "drain");
         Runtime.getRuntime().addShutdownHook(hook);
-        service.start().onComplete(done -> {
+        (cluster == null ? Future.<Void>succeededFuture() : service.join(cluster).onFailure(e -> {
+            Log.warn("cluster.unusable", "name", cluster.name(), "error", e.getMessage());
+            Runtime.getRuntime().halt(UNUSABLE);
+        })).compose(v -> service.start()).onComplete(done -> {
             if (done.failed()) {
                 Log.warn("director.not_started", "listen", config.listen(), "error", done.cause());
                 Runtime.getRuntime().halt(1); // Not by the hook, which would wait for this thread.
@@ -141,6 +147,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        vertx.runOnContext(v -> service.leave());
         Log.info("director.stopped", "open", service.open());
         Runtime.getRuntime().halt(0);
     }
--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -5,7 +5,9 @@
 import io.vertx.core.net.SocketAddress;
 import java.util.function.Consumer;
 import pewtercourse.admin.AdminServer;
+import pewtercourse.admin.ClusterCalls;
 import pewtercourse.admin.Operations;
+import pewtercourse.config.ClusterConfig;
 import pewtercourse.config.DirectorConfig;
 import pewtercourse.director.Director;
 import pewtercourse.director.Figures;
@@ -39,6 +41,7 @@
     private final StateFile state;
     private boolean serving;
     private long accepted, invalid; // Files at SIGHUP.
+    private Agreement agreement; // Null without a cluster.
 
     Service(Vertx vertx, DirectorConfig config, InheritedSocket inherited) {
         this.vertx = vertx;
@@ -110,7 +113,9 @@
     }
 
     private void heed(OperatorState told) {
-        director.follow(told);
+        if (agreement == null) {
+            director.follow(told); // In a cluster what was agreed there counts.
+        }
         if (told.standby() != drain.has(Drain.Cause.STANDBY)) {
             standby(told.standby());
         }
@@ -131,6 +136,9 @@
             drain.end(Drain.Cause.STANDBY);
         }
         front.drain(drain);
+        if (agreement != null) {
+            agreement.willing(!on);
+        }
     }
 
     /** Between the front and the service: what a drain turns away. */
@@ -160,21 +168,45 @@
     }
 
     @Override
-    public boolean enterMaintenance(String target) {
+    public Future<Verdict> enterMaintenance(String target) {
         follow();
+        if (agreement != null && director.knows(target)) {
+            return agreement.takeOut(target);
+        }
         boolean known = director.takeOut(target);
         write();
         Log.info("operator.out", "target", known ? target : "unknown");
-        return known;
+        return Future.succeededFuture(known ? Verdict.DONE : Verdict.UNKNOWN);
     }
 
     @Override
-    public boolean exitMaintenance(String target) {
+    public Future<Verdict> exitMaintenance(String target) {
         follow();
+        if (agreement != null && director.knows(target)) {
+            return agreement.putBack(target);
+        }
         boolean known = director.putBack(target);
         write();
         Log.info("operator.in", "target", known ? target : "unknown");
-        return known;
+        return Future.succeededFuture(known ? Verdict.DONE : Verdict.UNKNOWN);
+    }
+
+    @Override
+    public ClusterCalls cluster() {
+        return agreement;
+    }
+
+    /** This director belongs to a cluster: what operators say is agreed there from now on. */
+    Future<Void> join(ClusterConfig to) {
+        agreement = new Agreement(vertx, to, director);
+        return agreement.start();
+    }
+
+    /** Nothing more is agreed or written. */
+    void leave() {
+        if (agreement != null) {
+            agreement.close();
+        }
     }
 
     @Override
@@ -193,6 +225,9 @@
 
     /** SIGTERM: where the socket is inherited, another process takes the clients, and this one sends its own there. */
     void terminate() {
+        if (agreement != null) {
+            agreement.willing(false);
+        }
         if (inherited != null) {
             inherited.accept(false);
             drain.begin(Drain.Cause.HANDOVER, director.clock().getAsLong());
@@ -202,7 +237,7 @@
 
     /** Whether nothing is lost if it ends now. */
     boolean empty() {
-        return director.open() == 0 && (inherited == null || front.connections() == 0);
+        return director.open() == 0 && (agreement == null || agreement.handedOn()) && (inherited == null || front.connections() == 0);
     }
 
     void reload(DirectorConfig to) {
--- a/src/main/java/pewtercourse/admin/AdminApi.java
+++ b/src/main/java/pewtercourse/admin/AdminApi.java
@@ -1,5 +1,6 @@
 package pewtercourse.admin;
 
+import io.vertx.core.Future;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 
@@ -11,46 +12,51 @@
         this.director = director;
     }
 
-    AdminReply handle(AdminCall call) {
+    Future<AdminReply> handle(AdminCall call) {
+        if (call.path().startsWith("/cluster/") && director.cluster() != null) {
+            return ClusterApi.handle(director.cluster(), call);
+        }
         String method = switch (call.path()) {
             case "/status", "/status/metrics" -> "GET";
             case "/maintenance/enter", "/maintenance/exit", "/standby", "/active" -> "POST";
             default -> null;
         };
         if (method == null) {
-            return AdminReply.of(404, "no such path");
+            return Future.succeededFuture(AdminReply.of(404, "no such path"));
         }
         if (!method.equals(call.method())) {
-            return new AdminReply(405, "the method is " + method, method);
+            return Future.succeededFuture(new AdminReply(405, "the method is " + method, method));
         }
         switch (call.path()) {
             case "/status":
-                return director.canServe() ? AdminReply.of(200, "ready") : AdminReply.of(503, "not ready");
+                return Future.succeededFuture(
+                        director.canServe() ? AdminReply.of(200, "ready") : AdminReply.of(503, "not ready"));
             case "/status/metrics":
-                return AdminReply.of(200, director.metrics());
+                return Future.succeededFuture(AdminReply.of(200, director.metrics()));
             case "/maintenance/enter", "/maintenance/exit":
                 return maintenance(call);
             case "/standby":
                 director.standby();
-                return AdminReply.of(200, "standby");
+                return Future.succeededFuture(AdminReply.of(200, "standby"));
             default:
                 director.active();
-                return AdminReply.of(200, "active");
+                return Future.succeededFuture(AdminReply.of(200, "active"));
         }
     }
 
-    private AdminReply maintenance(AdminCall call) {
+    private Future<AdminReply> maintenance(AdminCall call) {
         Object target;
         try {
             target = new JsonObject(call.body()).getValue("target");
         } catch (DecodeException e) {
-            return AdminReply.of(400, "the body is no JSON object");
+            return Future.succeededFuture(AdminReply.of(400, "the body is no JSON object"));
         }
         if (!(target instanceof String name) || name.isEmpty()) {
-            return AdminReply.of(400, "target: the id of a cache is missing");
+            return Future.succeededFuture(AdminReply.of(400, "target: the id of a cache is missing"));
         }
         boolean out = call.path().endsWith("/enter");
-        boolean known = out ? director.enterMaintenance(name) : director.exitMaintenance(name);
-        return known ? AdminReply.of(200, (out ? "out: " : "in: ") + name) : AdminReply.of(404, "target: unknown id");
+        return (out ? director.enterMaintenance(name) : director.exitMaintenance(name)).map(v -> !v.known()
+                ? AdminReply.of(404, "target: unknown id") : v.refused() != null ? AdminReply.of(503, v.refused())
+                : AdminReply.of(200, (out ? "out: " : "in: ") + name));
     }
 }
--- a/src/main/java/pewtercourse/admin/AdminServer.java
+++ b/src/main/java/pewtercourse/admin/AdminServer.java
@@ -51,20 +51,25 @@
         r.exceptionHandler(e -> r.connection().close());
         r.endHandler(v -> {
             if (body.length() <= BODY_MOST) {
-                reply(r, handle(new AdminCall(r.method().name(), r.path(), body.toString())));
+                handle(new AdminCall(r.method().name(), r.path(), body.toString())).onSuccess(a -> reply(r, a))
+                        .onFailure(e -> reply(r, unexpected(e)));
             }
         });
     }
 
-    private AdminReply handle(AdminCall call) {
+    private Future<AdminReply> handle(AdminCall call) {
         try {
             return api.handle(call);
         } catch (RuntimeException e) {
-            Log.error("admin.unexpected", e);
-            return AdminReply.of(500, "failed: see the log");
+            return Future.failedFuture(e);
         }
     }
 
+    private static AdminReply unexpected(Throwable e) {
+        Log.error("admin.unexpected", e);
+        return AdminReply.of(500, "failed: see the log");
+    }
+
     private static void reply(HttpServerRequest r, AdminReply a) {
         if (r.response().ended()) {
             return;
--- /dev/null
+++ b/src/main/java/pewtercourse/admin/ClusterApi.java
@@ -0,0 +1,55 @@
+package pewtercourse.admin;
+
+import io.vertx.core.Future;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+
+/** The operators' calls on the cluster. 409 is a no for a reason that is told, 503 one that trying again may mend. */
+final class ClusterApi {
+    private ClusterApi() { }
+
+    static Future<AdminReply> handle(ClusterCalls cluster, AdminCall call) {
+        String method = switch (call.path()) {
+            case "/cluster/status" -> "GET";
+            case "/cluster/hand-on", "/cluster/transfer", "/cluster/add", "/cluster/remove" -> "POST";
+            default -> null;
+        };
+        if (method == null) {
+            return Future.succeededFuture(AdminReply.of(404, "no such path"));
+        }
+        if (!method.equals(call.method())) {
+            return Future.succeededFuture(new AdminReply(405, "the method is " + method, method));
+        }
+        if (method.equals("GET")) {
+            return cluster.status().map(s -> AdminReply.of(200, s.encode()));
+        }
+        JsonObject body;
+        try {
+            body = new JsonObject(call.body().isEmpty() ? "{}" : call.body());
+        } catch (DecodeException e) {
+            return Future.succeededFuture(AdminReply.of(400, "the body is no JSON object"));
+        }
+        String name = word(body, "name"), duty = word(body, "duty"), to = word(body, "to");
+        String address = word(body, "address");
+        return switch (call.path()) {
+            case "/cluster/hand-on" -> duty.isEmpty() ? missing("duty") : cluster.handOn(duty, to)
+                    .map(ClusterApi::verdict).otherwise(e -> AdminReply.of(503, e.getMessage()));
+            case "/cluster/transfer" -> Future.succeededFuture(verdict(cluster.transfer(to)));
+            case "/cluster/add" -> name.isEmpty() ? missing("name") : address.isEmpty() ? missing("address")
+                    : Future.succeededFuture(verdict(cluster.add(name, address)));
+            default -> name.isEmpty() ? missing("name") : Future.succeededFuture(verdict(cluster.remove(name)));
+        };
+    }
+
+    private static String word(JsonObject body, String key) {
+        return body.getValue(key) instanceof String s ? s : "";
+    }
+
+    private static Future<AdminReply> missing(String key) {
+        return Future.succeededFuture(AdminReply.of(400, key + ": missing"));
+    }
+
+    private static AdminReply verdict(String why) {
+        return why == null ? AdminReply.of(200, "done") : AdminReply.of(409, why);
+    }
+}
--- /dev/null
+++ b/src/main/java/pewtercourse/admin/ClusterCalls.java
@@ -0,0 +1,18 @@
+package pewtercourse.admin;
+
+import io.vertx.core.Future;
+import io.vertx.core.json.JsonObject;
+
+/** What operators may ask of a director that belongs to a cluster. Texts are reasons why not; null is done. */
+public interface ClusterCalls {
+    Future<JsonObject> status();
+
+    /** Fails with the reason when it is not agreed in time. */
+    Future<String> handOn(String duty, String to);
+
+    String transfer(String to);
+
+    String add(String name, String address);
+
+    String remove(String name);
+}
--- /dev/null
+++ b/src/main/java/pewtercourse/cluster/Cluster.java
@@ -0,0 +1,581 @@
+package pewtercourse.cluster;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ExecutorService;
+import java.util.function.Supplier;
+import pewtercourse.Log;
+import pewtercourse.Timers;
+import pewtercourse.config.ClusterConfig;
+import pewtercourse.config.ConfigException;
+import pewtercourse.config.DirectorConfig;
+import pewtercourse.duty.Command;
+import pewtercourse.duty.Duties;
+import pewtercourse.duty.DutyCodec;
+import pewtercourse.duty.DutyState;
+import pewtercourse.raft.Codec;
+import pewtercourse.raft.Entry;
+import pewtercourse.raft.Membership;
+import pewtercourse.raft.Message;
+import pewtercourse.raft.Raft;
+import pewtercourse.raft.Ready;
+import pewtercourse.raft.Saved;
+import pewtercourse.raft.Snapshot;
+import pewtercourse.raft.net.MemberNet;
+import pewtercourse.raft.store.Store;
+import pewtercourse.raft.store.StoreException;
+import pewtercourse.raft.wire.Wire;
+
+/**
+ * This director as a member of a cluster: between the sockets, the disk and the clock on the one side, the agreement and
+ * the duties on the other, which know none of them. On the event loop, but for the disk's own thread. When the disk fails
+ * the member falls silent, while the director serves on by what was last agreed, and comes back from its folder.
+ */
+public final class Cluster {
+    private static final long SEGMENT = 4L << 20;
+    private static final int SNAPSHOT_AFTER = 8_192, PENDING_MOST = 256, ROUNDS_MOST = 8;
+    // A caller of the operators' address is cut off after 2 s.
+    private static final long AGREE_MS = 1_300, CALL_AGAIN_MS = 150, READ_MS = 400, LET_MS = 400;
+    private static final long REOPEN_FIRST_MS = 500, REOPEN_MOST_MS = 8_000;
+
+    /** A command of this member's that is not agreed yet. */
+    private record Pending(Command.Signed command, byte[] bytes, Promise<DutyState.Result> done) { }
+
+    private final Vertx vertx;
+    private final Context loop;
+    private final Timers timers;
+    private final ClusterConfig config;
+    private final ClusterHost host;
+    private final Random random = new Random(new SecureRandom().nextLong());
+    private final long started = System.nanoTime();
+    private final Map<Long, Pending> pending = new LinkedHashMap<>();
+    private final Map<Long, Promise<Boolean>> reads = new HashMap<>();
+    private final Map<String, List<Promise<Boolean>>> letWaits = new HashMap<>(); // As many as the table of callers.
+    private final Set<String> toldRegressed = new HashSet<>();
+    private Duties duties;
+    private ExecutorService thread;
+    private Disk disk;
+    private MemberNet net;
+    private Raft raft; // Null while the folder is not open.
+    private long timer = -1, reopenMs = REOPEN_FIRST_MS, nextRead = 1, applied, toldWords = -1;
+    private String toldLeader = "";
+    private final Map<String, Long> toldTokens = new HashMap<>();
+    private boolean willing = true, closed, pumping;
+
+    public Cluster(Vertx vertx, ClusterConfig config, ClusterHost host) {
+        this.vertx = vertx;
+        this.loop = vertx.getOrCreateContext();
+        this.timers = Timers.of(vertx);
+        this.config = config;
+        this.host = host;
+    }
+
+    // ---- Its folder, at the start and after an error ----
+
+    /** Fails with a {@link StoreException} where the folder must not be used, or when it can't listen. */
+    public Future<Void> start() {
+        Promise<Void> up = Promise.promise();
+        host.part(config.duties().kept() / 1_000.0);
+        thread = Disk.thread();
+        ExecutorService mine = thread;
+        mine.execute(() -> {
+            Store store = null;
+            try {
+                store = Store.open(config.data(), config.cluster(), config.name(), SEGMENT);
+                Saved saved = store.recover();
+                Store opened = store;
+                loop.runOnContext(v -> opened(opened, saved).onComplete(up));
+            } catch (IOException | RuntimeException e) {
+                if (store != null) {
+                    try {
+                        store.close();
+                    } catch (IOException again) {
+                        e.addSuppressed(again);
+                    }
+                }
+                mine.shutdown();
+                loop.runOnContext(v -> up.fail(e));
+            }
+        });
+        return up.future();
+    }
+
+    private Future<Void> opened(Store store, Saved saved) {
+        if (closed) {
+            thread.execute(() -> {
+                try {
+                    store.close();
+                } catch (IOException e) {
+                    // It ends.
+                }
+            });
+            return Future.failedFuture("ended meanwhile");
+        }
+        disk = new Disk(thread, loop, store, this::saved, this::diskFailed);
+        duties = new Duties(config.duties(), config.name(), new SecureRandom().nextLong() >>> 16, host::zoneOf,
+                host::zoneSize);
+        duties.willing(willing);
+        raft = new Raft(config.raft(), config.name(), saved, now(), random);
+        applied = saved.snapshot().index();
+        reopenMs = REOPEN_FIRST_MS;
+        Log.info("cluster.opened", "name", config.name(), "term", saved.term(), "snapshot", saved.snapshot().index(),
+                "last", raft.lastIndex(), "incarnation", Long.toHexString(saved.incarnation()), "members",
+                raft.members().all().keySet());
+        net = new MemberNet(vertx, config.cluster(), config.name(), saved.incarnation(), random, this::address,
+                this::receive);
+        pump();
+        return net.listen(SocketAddress.inetSocketAddress(config.listen())).mapEmpty();
+    }
+
+    private void diskFailed(IOException e) {
+        Log.warn("cluster.disk_failed", "error", e);
+        shut("the disk failed");
+        reopen();
+    }
+
+    private void reopen() {
+        if (closed) {
+            return;
+        }
+        long in = reopenMs / 2 + (long) (random.nextDouble() * reopenMs);
+        reopenMs = Math.min(REOPEN_MOST_MS, 2 * reopenMs);
+        timers.set(in, () -> start().onFailure(e -> {
+            Log.warn("cluster.not_opened", "error", e);
+            reopen();
+        }));
+    }
+
+    private void shut(String why) {
+        timers.cancel(timer);
+        raft = null;
+        pending.values().forEach(p -> p.done().tryFail(why));
+        pending.clear();
+        reads.values().forEach(r -> r.tryComplete(false));
+        reads.clear();
+        net.close();
+        disk.close();
+        host.part(config.duties().kept() / 1_000.0);
+    }
+
+    /** Nothing more is said or written. What it holds should be handed on before: {@link #willing}. */
+    public void close() {
+        closed = true;
+        if (raft != null) {
+            shut("ending");
+        }
+    }
+
+    // ---- What comes in ----
+
+    private long now() {
+        return (System.nanoTime() - started) / 1_000;
+    }
+
+    private SocketAddress address(String member) {
+        String known = config.address(member);
+        if (known == null && raft != null && raft.members().all().containsKey(member)) {
+            known = raft.members().all().get(member).address();
+        }
+        try {
+            return known == null ? null : SocketAddress.inetSocketAddress(DirectorConfig.address("address", known));
+        } catch (ConfigException e) {
+            return null;
+        }
+    }
+
+    private void receive(String from, long incarnation, Wire.Frame f) {
+        if (raft == null) {
+            return;
+        }
+        switch (f.getBodyCase()) {
+            case CALL -> {
+                Raft.Proposed p = raft.propose(now(), f.getCall().getCommand().toByteArray());
+                if (p.refusal() != null) {
+                    Log.counted("cluster.call_refused", "from", from, "why", p.refusal());
+                }
+            }
+            case BODY_NOT_SET, HELLO -> Log.counted("cluster.stranger", "from", from, "error", "an unknown frame");
+            default -> {
+                Message m = Codec.decode(f);
+                if (m != null) {
+                    // Time first: after a standstill it may no longer be what it was.
+                    raft.tick(now());
+                    raft.receive(now(), from, incarnation, m);
+                }
+            }
+        }
+        pump();
+    }
+
+    private void saved(long number) {
+        if (raft != null) {
+            raft.saved(now(), number);
+            pump();
+        }
+    }
+
+    private void due() {
+        timer = -1;
+        if (raft != null) {
+            raft.tick(now());
+            pump();
+        }
+    }
+
+    // ---- What goes out ----
+
+    private void pump() {
+        if (pumping) {
+            return;
+        }
+        pumping = true;
+        try {
+            for (int round = 0; raft != null && round < ROUNDS_MOST; round++) {
+                boolean changed = carryOut(raft.take());
+                if (!orders() && !changed) {
+                    break;
+                }
+            }
+        } catch (RuntimeException e) {
+            Log.error("cluster.unexpected", e);
+            shut("an error");
+            reopen();
+        } finally {
+            pumping = false;
+        }
+        if (raft != null) {
+            timers.cancel(timer);
+            long next = Math.min(raft.wakeAt(), now() + config.duties().again() / 4);
+            timer = timers.set(Timers.millis(next - now()), this::due);
+        }
+    }
+
+    /** True if something was applied. */
+    private boolean carryOut(Ready r) {
+        if (r.save() != null) {
+            disk.save(r.save());
+        }
+        r.send().forEach(a -> net.send(a.to(), Codec.encode(a.message())));
+        boolean changed = false;
+        try {
+            if (r.install() != null) {
+                toldWords = -1;
+                duties.restored(now(), DutyState.decode(r.install().state()));
+                applied = r.install().index();
+                changed = true;
+            }
+            for (Entry e : r.committed()) {
+                applied = e.index();
+                if (e.kind() == Entry.Kind.COMMAND) {
+                    apply(e);
+                    changed = true;
+                }
+            }
+        } catch (InvalidProtocolBufferException e) {
+            // Going on without it would leave this member with another state than the others.
+            throw new IllegalStateException("entry " + applied + " can't be read: " + e.getMessage());
+        }
+        r.reads().forEach(x -> {
+            Promise<Boolean> p = reads.remove(x.id());
+            if (p != null) {
+                p.tryComplete(x.confirmed());
+            }
+        });
+        if (changed && duties.state().words() != toldWords) {
+            toldWords = duties.state().words();
+            host.agreed(duties.state().out(), duties.state().back());
+            tellLet();
+        }
+        tell();
+        snapshot();
+        return changed;
+    }
+
+    private void apply(Entry e) throws InvalidProtocolBufferException {
+        Command.Signed s = DutyCodec.decode(e.command());
+        DutyState.Result result = duties.applied(now(), e.index(), s);
+        if (s.by().equals(config.name())) {
+            Pending p = pending.remove(s.id());
+            if (p != null) {
+                p.done().tryComplete(result);
+            }
+        }
+    }
+
+    /** True if something was asked for. */
+    private boolean orders() {
+        if (raft == null || raft.members().all().isEmpty()) {
+            return false;
+        }
+        boolean any = false;
+        long now = now();
+        Set<String> heard = raft.role() == Raft.Role.LEADER ? raft.heard(now) : null;
+        Duties.View view = new Duties.View(raft.members().all().keySet(), heard, System.currentTimeMillis());
+        for (Command.Signed s : duties.tick(now, view)) {
+            if (s.command() instanceof Command.Let || s.command() instanceof Command.Lend
+                    || s.command() instanceof Command.Settle || s.command() instanceof Command.Withdraw) {
+                Log.info("duty.act", "order", s.command(), "id", s.id());
+            }
+            offer(DutyCodec.encode(s), s.id());
+            any = true;
+        }
+        Command.Signed borrow = duties.borrow(now, Math.round(1_000 * host.coldWanted()));
+        if (borrow != null) {
+            offer(DutyCodec.encode(borrow), borrow.id());
+            any = true;
+        }
+        host.part(duties.part(now) / 1_000.0);
+        return any;
+    }
+
+    // To the log if it leads, else to whoever does; lost if nobody is known to.
+    private void offer(byte[] command, long id) {
+        if (raft.role() == Raft.Role.LEADER) {
+            raft.propose(now(), command);
+        } else if (raft.leader() != null) {
+            net.send(raft.leader(), Wire.Frame.newBuilder().setCall(Wire.Call.newBuilder().setId(id)
+                    .setCommand(ByteString.copyFrom(command))).build());
+        }
+    }
+
+    private void snapshot() {
+        if (raft == null || applied - raft.snapshotIndex() < SNAPSHOT_AFTER) {
+            return;
+        }
+        Raft of = raft;
+        Snapshot s = raft.snapshotAt(applied, duties.state().encode());
+        if (s != null) {
+            disk.snapshot(s, done -> {
+                if (raft == of) {
+                    raft.compacted(done);
+                }
+            });
+        }
+    }
+
+    // What changed, for the log.
+    private void tell() {
+        String leader = raft.leader() == null ? "" : raft.leader();
+        if (!leader.equals(toldLeader)) {
+            toldLeader = leader;
+            Log.info("cluster.leader", "name", leader.isEmpty() ? "none" : leader, "term", raft.term());
+        }
+        raft.regressed().forEach(m -> {
+            if (toldRegressed.add(m)) {
+                Log.warn("cluster.member_regressed", "name", m);
+            }
+        });
+        duties.state().duties().forEach((name, d) -> {
+            if (!Long.valueOf(d.token()).equals(toldTokens.put(name, d.token()))) {
+                Log.info("duty.assigned", "duty", name, "holder", d.holder().isEmpty() ? "none" : d.holder(), "token",
+                        d.token());
+            }
+        });
+    }
+
+    // ---- What the director and its operators ask ----
+
+    /**
+     * Has a command agreed. Fails, with the reason, when that is not known within 1.5 s: it may still be agreed later, and
+     * asking again does no harm.
+     */
+    public Future<DutyState.Result> agree(Command command) {
+        if (raft == null) {
+            return Future.failedFuture("the folder of this member can't be used: see the log");
+        }
+        if (pending.size() >= PENDING_MOST) {
+            return Future.failedFuture("too many calls wait");
+        }
+        Command.Signed s = duties.sign(command);
+        Pending p = new Pending(s, DutyCodec.encode(s), Promise.promise());
+        pending.put(s.id(), p);
+        long end = timers.set(AGREE_MS, () -> p.done().tryFail(noMajority()));
+        long[] again = {-1};
+        Runnable[] call = new Runnable[1];
+        call[0] = () -> {
+            if (raft != null && pending.containsKey(s.id())) {
+                offer(p.bytes(), s.id());
+                again[0] = timers.set(CALL_AGAIN_MS, call[0]);
+                pump();
+            }
+        };
+        call[0].run();
+        return p.done().future().onComplete(r -> {
+            pending.remove(s.id());
+            timers.cancel(end);
+            timers.cancel(again[0]);
+        });
+    }
+
+    /** Whether the warden lets the cache out within what a caller waits. Never fails. */
+    public Future<Boolean> let(String target) {
+        Promise<Boolean> p = Promise.promise();
+        letWaits.computeIfAbsent(target, t -> new ArrayList<>()).add(p);
+        long end = timers.set(LET_MS, () -> p.tryComplete(false));
+        tellLet();
+        return p.future().onComplete(r -> {
+            timers.cancel(end);
+            letWaits.getOrDefault(target, new ArrayList<>()).remove(p);
+            letWaits.values().removeIf(List::isEmpty);
+        });
+    }
+
+    private void tellLet() {
+        letWaits.keySet().stream().filter(state().out()::containsKey).toList()
+                .forEach(t -> List.copyOf(letWaits.get(t)).forEach(p -> p.tryComplete(true)));
+    }
+
+    private String noMajority() {
+        return raft == null || raft.leader() == null ? "no leader: a majority of the members is not reached"
+                : "not agreed in time by a majority; the leader is " + raft.leader();
+    }
+
+    /** Whether this member's state is as new as the majority's; false when that is not known in time. Only a leader knows. */
+    public Future<Boolean> confirm() {
+        Promise<Boolean> p = Promise.promise();
+        long id = nextRead++;
+        if (raft == null || reads.size() >= PENDING_MOST || raft.read(now(), id) != null) {
+            return Future.succeededFuture(false);
+        }
+        reads.put(id, p);
+        long end = timers.set(READ_MS, () -> p.tryComplete(false));
+        pump();
+        return p.future().onComplete(r -> {
+            reads.remove(id);
+            timers.cancel(end);
+        });
+    }
+
+    public DutyState state() {
+        return duties == null ? new DutyState() : duties.state();
+    }
+
+    public boolean hasWarden() {
+        return config.duties().warden() != null;
+    }
+
+    public boolean wardenWaits() {
+        return config.duties().warden().waits();
+    }
+
+    /** Whether it takes duties; when not, it hands on what it holds, and leadership too. */
+    public void willing(boolean on) {
+        willing = on;
+        if (raft != null) {
+            duties.willing(on);
+            pump();
+        }
+    }
+
+    /** Whether it holds no duty and does not lead, or can do nothing about it. */
+    public boolean handedOn() {
+        if (raft == null) {
+            return true;
+        }
+        if (!duties.free()) {
+            return raft.leader() == null;
+        }
+        String heir = raft.heir(now());
+        if (raft.role() == Raft.Role.LEADER && heir != null) {
+            raft.transfer(now(), heir);
+            pump();
+            return false;
+        }
+        return true;
+    }
+
+    /** By an operator: the duty's holder is to hand it on, to {@code to} or, if that is empty, to whoever is best. */
+    public Future<DutyState.Result> handOn(String duty, String to) {
+        DutyState.Duty d = state().duty(duty);
+        if (d.holder().isEmpty()) {
+            return Future.succeededFuture(new DutyState.Result("nobody holds '" + duty + "'"));
+        }
+        if (!to.isEmpty() && (raft == null || !raft.members().all().containsKey(to))) {
+            return Future.succeededFuture(new DutyState.Result("'" + to + "' is no member"));
+        }
+        return agree(new Command.Prefer(duty, d.token(), to));
+    }
+
+    /** By an operator at the leader: leadership goes to {@code to}, or, if that is empty, to whoever lacks least. Null, or why not. */
+    public String transfer(String to) {
+        return led(() -> {
+            String heir = to.isEmpty() ? raft.heir(now()) : to;
+            return heir == null ? Raft.Refusal.UNFIT : raft.transfer(now(), heir);
+        });
+    }
+
+    /** By an operator at the leader: a new member, which learns first and votes then. Null, or why not. */
+    public String add(String name, String address) {
+        Membership.Member before = raft == null ? null : raft.members().all().get(name);
+        return led(() -> before != null ? Raft.Refusal.UNFIT
+                : raft.addMember(now(), name, address, 0).refusal());
+    }
+
+    public String remove(String name) {
+        return led(() -> raft.removeMember(now(), name).refusal());
+    }
+
+    private String led(Supplier<Raft.Refusal> what) {
+        if (raft == null) {
+            return "the folder of this member can't be used: see the log";
+        }
+        raft.tick(now());
+        Raft.Refusal no = what.get();
+        pump();
+        return no == null ? null : switch (no) {
+            case NOT_LEADER -> "not the leader, which is " + (raft.leader() == null ? "not known" : raft.leader());
+            case CHANGING -> "another change is under way, or the leader is new: try again";
+            case HANDING_ON -> "leadership is being handed on: try again";
+            case BUSY -> "too much is under way: try again";
+            case UNFIT -> "that is not possible: the member is unknown or there already, does not answer or has no vote";
+        };
+    }
+
+    /** For operators: {@code confirmed}, whether a majority has just said that nothing newer is agreed. */
+    public JsonObject status(boolean confirmed) {
+        JsonObject json = new JsonObject().put("cluster", config.cluster()).put("name", config.name());
+        if (raft == null) {
+            return json.put("open", false);
+        }
+        long now = now();
+        Map<String, Long> lag = raft.lag();
+        Set<String> heard = raft.heard(now);
+        JsonArray members = new JsonArray();
+        raft.members().all().forEach((name, m) -> members.add(new JsonObject().put("name", name)
+                .put("voter", m.voter()).put("lag", lag.get(name))
+                .put("heard", raft.role() == Raft.Role.LEADER ? heard.contains(name) : null)));
+        JsonArray held = new JsonArray();
+        for (String name : new TreeSet<>(state().duties().keySet())) {
+            DutyState.Duty d = state().duty(name);
+            held.add(new JsonObject().put("duty", name).put("holder", d.holder()).put("token", d.token())
+                    .put("left_ms", d.holder().equals(config.name()) ? duties.left(name, now) / 1_000 : null));
+        }
+        JsonArray tickets = new JsonArray();
+        state().tickets().values().forEach(t -> tickets.add(new JsonObject().put("target", t.target())
+                .put("zone", t.zone()).put("by", t.by()).put("out", t.let())));
+        return json.put("open", true).put("role", raft.role().name().toLowerCase(java.util.Locale.ROOT))
+                .put("leader", raft.leader()).put("term", raft.term()).put("commit", raft.commit())
+                .put("applied", applied).put("snapshot", raft.snapshotIndex()).put("confirmed", confirmed)
+                .put("removed", raft.stranger()).put("members", members).put("duties", held)
+                .put("out", new JsonObject(new java.util.TreeMap<>(state().out()))).put("tickets", tickets)
+                .put("part", duties.part(now)).put("lent", state().lent()).put("dropped_frames", net.dropped());
+    }
+}
--- a/src/main/java/pewtercourse/config/SiteSettings.java
+++ b/src/main/java/pewtercourse/config/SiteSettings.java
@@ -40,6 +40,11 @@
                 && Objects.equals(originKind, other.originKind);
     }
 
+    /** Whether a line of this kind is a cache, and neither parent nor origin. */
+    public boolean isCache(String kind) {
+        return !kind.equals(parentKind) && !kind.equals(originKind);
+    }
+
     /** A line of the list, with the names of zone and kind resolved. */
     public Router.Member member(long id, String zone, String kind, int cell, Router.State state, double weight,
             long since) {
--- a/src/main/java/pewtercourse/decision/Logic.java
+++ b/src/main/java/pewtercourse/decision/Logic.java
@@ -195,10 +195,10 @@
     private double fillWait = 50_000;
     // Share of the attempts not believed to hit that did fill: the fewer a router's beliefs, the more hit.
     private double fillShare = 0.5;
-    private long batch, nextReport;
+    private long batch, nextReport, now, lacked = Long.MIN_VALUE / 2; // lacked: a cold member had no room.
+    private double part = 1; // Of what a router may send to cold members, by itself or by agreement.
     private boolean started;
     private int mostCaches;
-    private long now;
     private List<Action> actions = new ArrayList<>();
 
     public Logic(Settings settings, long seed) {
@@ -242,6 +242,8 @@
                 listed(l);
             } else if (e instanceof Reconfigured c) {
                 configure(c.settings());
+            } else if (e instanceof Parted p) {
+                part = p.factor();
             } else if (e instanceof Purged p) {
                 purged(p);
             } else if (e instanceof PeerMessage m) {
@@ -256,8 +258,9 @@
     }
 
     @Override
-    public int avoided() {
-        return (int) nodes.values().stream().filter(n -> n.until > 0).count();
+    public Insight insight() {
+        return new Insight((int) nodes.values().stream().filter(n -> n.until > 0).count(),
+                now - lacked < set.tipAfter());
     }
 
     // ---- A request arrives: it is counted, and planned ----
@@ -610,11 +613,9 @@
         // Blame the right party: an error that tells of its source says nothing of the cache, and one that
         // another cache gives too may be the request's own fault. Guards against unusable requests ejecting
         // the healthy.
-        if (pureError && !sourceFault) {
-            if (!r.accused.contains(t.node)) {
-                r.accused.add(t.node);
-            }
-        } else if (failed && !sourceFault) {
+        if (pureError && !sourceFault && !r.accused.contains(t.node)) {
+            r.accused.add(t.node);
+        } else if (failed && !pureError && !sourceFault) {
             judge(t.node, true);
         } else if (end == Ending.TIMEOUT && !t.quiet || end == Ending.FULL) {
             gate.learn(false, true);
@@ -665,12 +666,8 @@
         }
         boolean harmless = r.cls.effect() == Effect.PURE || r.ran == null
                 || r.cls.effect() == Effect.TOKEN && r.cls.group() == Group.ALL;
-        if (harmless) {
-            long wait = (long) (HOLD_OFF * r.cls.aim() * (1 + random.nextDouble()));
-            actions.add(new Refuse(r.asks.id(), Math.min(set.maxRetryAfter(), wait)));
-        } else {
-            actions.add(new Fail(r.asks.id()));
-        }
+        actions.add(!harmless ? new Fail(r.asks.id()) : new Refuse(r.asks.id(),
+                Math.min(set.maxRetryAfter(), (long) (HOLD_OFF * r.cls.aim() * (1 + random.nextDouble())))));
         close(r);
     }
 
@@ -757,10 +754,11 @@
         double capacity = set.weightsTold() ? n.is.weight() / split : known;
         ColdRule rule = parent ? set.coldParent() : set.coldCache();
         // Warmth rises in a line at least: in the middle of the window it is the window's mean.
-        double bears = rule.multiple() * warmth(n, now - set.tipAfter() / 2) * capacity;
+        double bears = rule.multiple() * warmth(n, now - set.tipAfter() / 2) * capacity * part;
         boolean turn = n.spent.isEmpty() && now / set.tipAfter() % split == set.me() % split;
-        return n.spentSum + classWork[r.asks.cls()] <= COLD_SHARE * bears * set.tipAfter()
-                || turn && !set.weightsTold();
+        boolean room = n.spentSum + classWork[r.asks.cls()] <= COLD_SHARE * bears * set.tipAfter();
+        lacked = room ? lacked : now;
+        return room || turn && !set.weightsTold();
     }
 
     // What a warm cache bears for this router, by the zone's link. Guards against a router that starts with
--- a/src/main/java/pewtercourse/decision/Router.java
+++ b/src/main/java/pewtercourse/decision/Router.java
@@ -10,8 +10,10 @@
     /** Handles events in the order in which they came; all of them happen at {@code now}. */
     List<Action> handle(long now, List<Event> events);
 
-    /** Listed members that it leaves alone for now. */
-    int avoided();
+    /** {@code avoided}: listed members that it leaves alone for now; {@code coldShort}: of late a cold one had no room. */
+    record Insight(int avoided, boolean coldShort) { }
+
+    Insight insight();
 
     enum Effect { PURE, TOKEN, SIDE_EFFECT }
 
@@ -78,6 +80,9 @@
     record Outcome(long id, int attempt, long member, Ending ending, long latency, boolean last,
             Note note) implements Event { }
 
+    /** What the routers have agreed of the room at cold members: this one's part, as a factor on an equal part. */
+    record Parted(double factor) implements Event { }
+
     record StreamBegun(long id, int attempt) implements Event { }
 
     record TimerDue(String name) implements Event { }
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -156,6 +156,30 @@
         return byHand(name, roster.knows(name) ? roster.putBack(name, clock.getAsLong() / 1000) : null);
     }
 
+    /** This director's part of what cold caches bear, as a factor on an equal part. */
+    public void part(double factor) {
+        tell(new Router.Parted(factor));
+    }
+
+    /** How much more of that it could use, as a share of an equal part. */
+    public double coldWanted() {
+        return router.insight().coldShort() ? 1 : 0;
+    }
+
+    public boolean knows(String name) {
+        return roster.knows(name);
+    }
+
+    /** The zone of a listed cache or parent, "" where it is not listed. */
+    public String zoneOf(String name) {
+        return roster.zoneOf(name);
+    }
+
+    /** Caches listed in a zone. */
+    public int zoneSize(String zone) {
+        return roster.zoneSize(zone);
+    }
+
     /** What operators told another process of this director. */
     public void follow(OperatorState state) {
         Router.Listed change = roster.follow(state.out(), state.back(), clock.getAsLong() / 1000);
@@ -179,7 +203,7 @@
 
     /** The figures of the parts behind the front. */
     public Figures.Gauges gauges(long accepted, long invalid) {
-        return new Figures.Gauges(pool.written(), roster.size(), roster.listedOut() + router.avoided(), accepted, invalid);
+        return new Figures.Gauges(pool.written(), roster.size(), roster.listedOut() + router.insight().avoided(), accepted, invalid);
     }
 
     public boolean knowsClass(String name) {
--- a/src/main/java/pewtercourse/director/Roster.java
+++ b/src/main/java/pewtercourse/director/Roster.java
@@ -81,6 +81,15 @@
         return named(name) != null || out.isOut(name);
     }
 
+    String zoneOf(String name) {
+        FeedEvent.Host h = named(name);
+        return h == null || h.zone() == null ? "" : h.zone();
+    }
+
+    int zoneSize(String zone) {
+        return (int) hosts.values().stream().filter(h -> zone.equals(h.zone()) && site.isCache(h.kind())).count();
+    }
+
     /** Takes a member out; returns what the module is to be told, null if nothing changes. */
     Router.Listed takeOut(String name, long nowMs) {
         return out.enter(name, nowMs) ? told(named(name)) : null;
--- /dev/null
+++ b/src/main/java/pewtercourse/duty/Command.java
@@ -0,0 +1,51 @@
+package pewtercourse.duty;
+
+/**
+ * What members have agreed before it counts. {@code token}s are those of the duty that orders it; the state refuses
+ * an older one. A command that comes twice changes nothing the second time.
+ */
+public sealed interface Command {
+    /** The duty goes to {@code to}, if its token and renewals still are these: nobody has renewed it meanwhile. */
+    record Assign(String duty, String to, long token, long renewals) implements Command { }
+
+    /** By the holder: its lease begins anew. {@code renewals}: as many as there have been. */
+    record Renew(String duty, long token, long renewals) implements Command { }
+
+    /** By the holder, which acts no more. {@code to}: who gets it, or empty. */
+    record HandOn(String duty, long token, String to) implements Command { }
+
+    /** The holder of this token is to hand on, to {@code to} or, if that is empty, to whoever is best. */
+    record Prefer(String duty, long token, String to) implements Command { }
+
+    /** By the leader: it has not heard this member for long, or hears it again. */
+    record Absent(String member, boolean absent) implements Command { }
+
+    /** An operator's word: this cache is out, since Unix milliseconds. */
+    record Out(String target, long atMs) implements Command { }
+
+    record Back(String target, long atMs) implements Command { }
+
+    /** A cache is to be out once the warden lets it. */
+    record Ask(String target, String zone, long atMs) implements Command { }
+
+    /** By the warden: the cache with this ticket is out from now on. */
+    record Let(String target, long ticket, long token, long atMs) implements Command { }
+
+    /** The ticket is void, and its cache back if it was out. By the warden; or with token 0 by whoever asked for it. */
+    record Withdraw(String target, long ticket, long token, long atMs) implements Command { }
+
+    /** A member could use so much more, in thousandths of what one director's part of a cold budget is. */
+    record Borrow(long thousandths) implements Command { }
+
+    /** By the divider. {@code pool}: all that may be lent at once. */
+    record Lend(String to, long ask, long thousandths, long token, long pool) implements Command { }
+
+    /** By the divider: the loan's time is over for certain. */
+    record Settle(long loan, long token) implements Command { }
+
+    /** Whether the member that says so takes duties: not while it drains or stands by. */
+    record Standing(boolean willing) implements Command { }
+
+    /** With who asked for it and its number there. */
+    record Signed(String by, long id, Command command) { }
+}
--- /dev/null
+++ b/src/main/java/pewtercourse/duty/DutyState.java
@@ -0,0 +1,332 @@
+package pewtercourse.duty;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Collections;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import pewtercourse.duty.wire.DutyWire;
+
+/**
+ * What the members have agreed on, the same at each after the same commands: it knows no clock and draws nothing.
+ * Whether a lease is over is judged by those who wait for it ({@link LeaseWatch}); here only tokens and counts decide.
+ */
+public final class DutyState {
+    /** The duties that this version knows. Duty names are free; these two give orders that are checked below. */
+    public static final String WARDEN = "warden", DIVIDER = "divider";
+
+    // Bounds on what operators and members can make it keep.
+    private static final int OUT_MOST = 1_024, TICKETS_MOST = 1_024, WISHES_MOST = 64, LOANS_MOST = 256;
+
+    /**
+     * {@code holder} empty: nobody's. {@code renewals} 0: assigned, and not taken up yet. {@code moves}: the holder is to
+     * hand it on, to {@code preferred} or, if that is empty, to whoever is best.
+     */
+    public record Duty(String holder, long token, long renewals, boolean moves, String preferred) {
+        static final Duty NOBODYS = of("", 0);
+
+        static Duty of(String holder, long token) {
+            return new Duty(holder, token, 0, false, "");
+        }
+    }
+
+    /** A call to take a cache out: {@code let} once the warden has. */
+    public record Ticket(long number, String target, String zone, String by, boolean let) { }
+
+    public record Wish(long ask, long thousandths) { }
+
+    public record Loan(String to, long ask, long thousandths) { }
+
+    /** What became of a command. {@code why} null: it was done, or had been done before. */
+    public record Result(String why) {
+        static final Result DONE = new Result(null);
+
+        public boolean done() {
+            return why == null;
+        }
+    }
+
+    private final TreeMap<String, Duty> duties = new TreeMap<>();
+    private final TreeMap<String, Long> out = new TreeMap<>(), back = new TreeMap<>();
+    private final TreeMap<Long, Ticket> tickets = new TreeMap<>();
+    private final TreeMap<String, Wish> wishes = new TreeMap<>();
+    private final TreeMap<Long, Loan> loans = new TreeMap<>();
+    private final TreeSet<String> unwilling = new TreeSet<>(), absent = new TreeSet<>();
+    private long lastToken, words;
+
+    /** Applies the command of the log's entry {@code index}; its number is the number of what it makes. */
+    public Result apply(long index, Command.Signed s) {
+        Command c = s.command();
+        if (c instanceof Command.Assign a) {
+            return assign(a);
+        } else if (c instanceof Command.Renew r) {
+            return renew(s.by(), r);
+        } else if (c instanceof Command.HandOn h) {
+            return handOn(s.by(), h);
+        } else if (c instanceof Command.Out o) {
+            return goOut(o.target(), o.atMs());
+        } else if (c instanceof Command.Back b) {
+            tickets.values().removeIf(t -> t.target().equals(b.target()));
+            return comeBack(b.target(), b.atMs());
+        } else if (c instanceof Command.Ask a) {
+            return ask(index, s.by(), a);
+        } else if (c instanceof Command.Let l) {
+            return let(l);
+        } else if (c instanceof Command.Withdraw w) {
+            return withdraw(s.by(), w);
+        } else if (c instanceof Command.Borrow b) {
+            return borrow(index, s.by(), b);
+        } else if (c instanceof Command.Lend l) {
+            return lend(index, l);
+        } else if (c instanceof Command.Settle t) {
+            boolean holds = duty(DIVIDER).token() == t.token();
+            return !holds ? new Result("an older token") : loans.remove(t.loan()) == null ? new Result("settled before")
+                    : Result.DONE;
+        } else if (c instanceof Command.Standing t) {
+            return among(unwilling, s.by(), !t.willing());
+        } else if (c instanceof Command.Prefer p) {
+            return prefer(p);
+        } else if (c instanceof Command.Absent a) {
+            return among(absent, a.member(), a.absent());
+        }
+        throw new IllegalArgumentException(c.toString());
+    }
+
+    private static Result among(Set<String> names, String name, boolean in) {
+        return (in ? names.size() < WISHES_MOST && names.add(name) : names.remove(name)) ? Result.DONE
+                : new Result("known");
+    }
+
+    // ---- Duties ----
+
+    private Result assign(Command.Assign a) {
+        Duty d = duty(a.duty());
+        if (d.token() != a.token() || d.renewals() != a.renewals()) {
+            return new Result("renewed or assigned meanwhile");
+        }
+        duties.put(a.duty(), Duty.of(a.to(), ++lastToken));
+        return Result.DONE;
+    }
+
+    private Result renew(String by, Command.Renew r) {
+        Duty d = duty(r.duty());
+        if (d.token() != r.token() || !d.holder().equals(by)) {
+            return new Result("an older token");
+        }
+        if (d.renewals() != r.renewals()) {
+            return new Result("renewed before");
+        }
+        duties.put(r.duty(), new Duty(by, d.token(), d.renewals() + 1, d.moves(), d.preferred()));
+        return Result.DONE;
+    }
+
+    private Result handOn(String by, Command.HandOn h) {
+        Duty d = duty(h.duty());
+        if (d.token() != h.token() || !d.holder().equals(by)) {
+            return new Result("an older token");
+        }
+        duties.put(h.duty(), Duty.of(h.to(), ++lastToken));
+        return Result.DONE;
+    }
+
+    private Result prefer(Command.Prefer p) {
+        Duty d = duty(p.duty());
+        if (d.token() != p.token() || d.holder().isEmpty()) {
+            return new Result("an older token");
+        }
+        duties.put(p.duty(), new Duty(d.holder(), d.token(), d.renewals(), true, p.to()));
+        return Result.DONE;
+    }
+
+    // ---- What operators said ----
+
+    private Result goOut(String target, long atMs) {
+        if (out.containsKey(target)) {
+            return Result.DONE;
+        }
+        if (out.size() >= OUT_MOST) {
+            return new Result(OUT_MOST + " are out");
+        }
+        words++;
+        out.put(target, atMs);
+        back.remove(target);
+        return Result.DONE;
+    }
+
+    private Result comeBack(String target, long atMs) {
+        if (out.remove(target) != null) {
+            if (back.size() >= OUT_MOST) {
+                back.remove(Collections.min(back.entrySet(), Map.Entry.comparingByValue()).getKey());
+            }
+            back.put(target, atMs);
+            words++;
+        }
+        return Result.DONE;
+    }
+
+    // ---- The warden ----
+
+    private Result ask(long index, String by, Command.Ask a) {
+        if (out.containsKey(a.target()) || ticketOf(a.target()) != null) {
+            return Result.DONE;
+        }
+        if (tickets.size() >= TICKETS_MOST) {
+            return new Result(TICKETS_MOST + " calls wait or are out");
+        }
+        tickets.put(index, new Ticket(index, a.target(), a.zone(), by, false));
+        return Result.DONE;
+    }
+
+    private Result let(Command.Let l) {
+        Ticket t = tickets.get(l.ticket());
+        if (duty(WARDEN).token() != l.token()) {
+            return new Result("an older token");
+        }
+        if (t == null || !t.target().equals(l.target())) {
+            return new Result("withdrawn meanwhile");
+        }
+        Result done = goOut(l.target(), l.atMs());
+        if (done.done()) {
+            tickets.put(l.ticket(), new Ticket(t.number(), t.target(), t.zone(), t.by(), true));
+        }
+        return done;
+    }
+
+    private Result withdraw(String by, Command.Withdraw w) {
+        Ticket t = tickets.get(w.ticket());
+        if (t == null || !t.target().equals(w.target())) {
+            return new Result("withdrawn before");
+        }
+        boolean may = w.token() == 0 ? t.by().equals(by) && !t.let() : duty(WARDEN).token() == w.token();
+        if (!may) {
+            return new Result("an older token, or another's ticket");
+        }
+        tickets.remove(w.ticket());
+        return t.let() ? comeBack(w.target(), w.atMs()) : Result.DONE;
+    }
+
+    // ---- The divider ----
+
+    private Result borrow(long index, String by, Command.Borrow b) {
+        if (wishes.size() >= WISHES_MOST && !wishes.containsKey(by)) {
+            return new Result("too many wishes");
+        }
+        if (b.thousandths() <= 0) {
+            wishes.remove(by);
+        } else {
+            wishes.put(by, new Wish(index, b.thousandths()));
+        }
+        return Result.DONE;
+    }
+
+    private Result lend(long index, Command.Lend l) {
+        Wish w = wishes.get(l.to());
+        if (duty(DIVIDER).token() != l.token()) {
+            return new Result("an older token");
+        }
+        if (w == null || w.ask() != l.ask() || l.thousandths() <= 0) {
+            return new Result("not wished for any more");
+        }
+        if (loans.size() >= LOANS_MOST || lent() + l.thousandths() > l.pool()) {
+            return new Result("over what may be lent");
+        }
+        wishes.remove(l.to());
+        loans.put(index, new Loan(l.to(), l.ask(), l.thousandths()));
+        return Result.DONE;
+    }
+
+    // ---- What is known ----
+
+    /** Nobody's with token 0 if it was never assigned. */
+    public Duty duty(String name) {
+        return duties.getOrDefault(name, Duty.NOBODYS);
+    }
+
+    public SortedMap<String, Duty> duties() {
+        return Collections.unmodifiableSortedMap(duties);
+    }
+
+    /** Caches out by an operator's word, and since when. */
+    public Map<String, Long> out() {
+        return Collections.unmodifiableMap(out);
+    }
+
+    /** Changes of {@link #out} and {@link #back} since this state was made or read. */
+    public long words() {
+        return words;
+    }
+
+    /** Those that came back, and when. */
+    public Map<String, Long> back() {
+        return Collections.unmodifiableMap(back);
+    }
+
+    /** In the order in which they were asked for. */
+    public SortedMap<Long, Ticket> tickets() {
+        return Collections.unmodifiableSortedMap(tickets);
+    }
+
+    public Ticket ticketOf(String target) {
+        return tickets.values().stream().filter(t -> t.target().equals(target)).findFirst().orElse(null);
+    }
+
+    public Map<String, Wish> wishes() {
+        return Collections.unmodifiableMap(wishes);
+    }
+
+    public SortedMap<Long, Loan> loans() {
+        return Collections.unmodifiableSortedMap(loans);
+    }
+
+    public long lent() {
+        return loans.values().stream().mapToLong(Loan::thousandths).sum();
+    }
+
+    /** Members that take no duties for now. */
+    public Set<String> unwilling() {
+        return Collections.unmodifiableSet(unwilling);
+    }
+
+    /** Members that the leader has not heard for long. */
+    public Set<String> absent() {
+        return Collections.unmodifiableSet(absent);
+    }
+
+    // ---- Snapshots ----
+
+    public byte[] encode() {
+        DutyWire.State.Builder b = DutyWire.State.newBuilder().setLastToken(lastToken).addAllUnwilling(unwilling)
+                .addAllAbsent(absent);
+        duties.forEach((name, d) -> b.addDuty(DutyWire.Duty.newBuilder().setName(name).setHolder(d.holder())
+                .setToken(d.token()).setRenewals(d.renewals()).setMoves(d.moves()).setPreferred(d.preferred())));
+        out.forEach((name, at) -> b.addOut(DutyWire.Named.newBuilder().setName(name).setAtMs(at)));
+        back.forEach((name, at) -> b.addBack(DutyWire.Named.newBuilder().setName(name).setAtMs(at)));
+        tickets.values().forEach(t -> b.addTicket(DutyWire.Ticket.newBuilder().setNumber(t.number())
+                .setTarget(t.target()).setZone(t.zone()).setBy(t.by()).setLet(t.let())));
+        wishes.forEach((by, w) -> b.addWish(DutyWire.Wish.newBuilder().setBy(by).setAsk(w.ask())
+                .setThousandths(w.thousandths())));
+        loans.forEach((n, l) -> b.addLoan(DutyWire.Loan.newBuilder().setNumber(n).setTo(l.to()).setAsk(l.ask())
+                .setThousandths(l.thousandths())));
+        return b.build().toByteArray();
+    }
+
+    /** Of no bytes: the state at the founding. */
+    public static DutyState decode(byte[] bytes) throws InvalidProtocolBufferException {
+        DutyWire.State s = DutyWire.State.parseFrom(bytes);
+        DutyState d = new DutyState();
+        d.lastToken = s.getLastToken();
+        d.unwilling.addAll(s.getUnwillingList());
+        d.absent.addAll(s.getAbsentList());
+        s.getDutyList().forEach(x -> d.duties.put(x.getName(), new Duty(x.getHolder(), x.getToken(), x.getRenewals(),
+                x.getMoves(), x.getPreferred())));
+        s.getOutList().forEach(x -> d.out.put(x.getName(), x.getAtMs()));
+        s.getBackList().forEach(x -> d.back.put(x.getName(), x.getAtMs()));
+        s.getTicketList().forEach(t -> d.tickets.put(t.getNumber(),
+                new Ticket(t.getNumber(), t.getTarget(), t.getZone(), t.getBy(), t.getLet())));
+        s.getWishList().forEach(w -> d.wishes.put(w.getBy(), new Wish(w.getAsk(), w.getThousandths())));
+        s.getLoanList().forEach(l -> d.loans.put(l.getNumber(), new Loan(l.getTo(), l.getAsk(), l.getThousandths())));
+        return d;
+    }
+}
--- a/src/test/java/pewtercourse/admin/AdminServerTest.java
+++ b/src/test/java/pewtercourse/admin/AdminServerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.SocketAddress;
 import java.net.Socket;
@@ -36,13 +37,15 @@
             }
 
             @Override
-            public boolean enterMaintenance(String target) {
-                return target.equals("s-1") && done.add("out " + target);
+            public Future<Verdict> enterMaintenance(String target) {
+                return Future.succeededFuture(target.equals("s-1") && done.add("out " + target) ? Verdict.DONE
+                        : Verdict.UNKNOWN);
             }
 
             @Override
-            public boolean exitMaintenance(String target) {
-                return target.equals("s-1") && done.add("in " + target);
+            public Future<Verdict> exitMaintenance(String target) {
+                return Future.succeededFuture(target.equals("s-1") && done.add("in " + target) ? Verdict.DONE
+                        : Verdict.UNKNOWN);
             }
 
             @Override
--- /dev/null
+++ b/src/test/java/pewtercourse/cluster/ClusterFaultTest.java
@@ -0,0 +1,310 @@
+package pewtercourse.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pewtercourse.cluster.Fleet.until;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Directors as processes of the program, a relay on each link, and faults between them. After each script the log of every
+ * act is checked: no token is held by two, and none acts after a later one.
+ */
+class ClusterFaultTest {
+    private static final JsonObject SETTINGS = new JsonObject().put("heartbeat_ms", 40)
+            .put("election_ms", new JsonArray().add(250).add(500)).put("lease_ms", 1_000).put("drift", 0.01)
+            .put("duties", new JsonObject().put("warden", new JsonObject().put("most", 1).put("out_most_ms", 60_000))
+                    .put("divider", new JsonObject().put("reserve", 0.5).put("loan_ms", 500)));
+    private static final Pattern ACT = Pattern.compile("^(\\S+) (\\d+) INFO duty\\.act order=(\\w+)\\[.*token=(\\d+)"),
+            ASSIGNED = Pattern.compile("^(\\S+) \\d+ INFO duty\\.assigned duty=(\\w+) holder=(\\S+) token=(\\d+)");
+    private static final String CACHE = "s-00000001", OTHER = "s-00000002";
+
+    @TempDir
+    Path folder;
+    private Fleet fleet;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new Fleet(folder, 3, SETTINGS);
+        fleet.found();
+        fleet.start();
+        fleet.awaitLeader(fleet.members);
+        fleet.awaitHolder("warden", fleet.members);
+    }
+
+    @AfterEach
+    void end() {
+        fleet.close();
+        checkActs(fleet.log);
+    }
+
+    /** What the members logged as agreed and as done. */
+    static void checkActs(List<String> log) {
+        List<String> lines;
+        synchronized (log) {
+            lines = new ArrayList<>(log);
+        }
+        var holders = new java.util.TreeMap<Long, String>();
+        for (String l : lines) {
+            Matcher m = ASSIGNED.matcher(l);
+            if (m.find()) {
+                String other = holders.putIfAbsent(Long.valueOf(m.group(4)), m.group(3));
+                assertTrue(other == null || other.equals(m.group(3)), "two hold one token: " + l);
+            }
+        }
+        long[] greatest = {0};
+        lines.stream().map(ACT::matcher).filter(Matcher::find)
+                .sorted(Comparator.comparingLong(m -> Long.parseLong(m.group(2)))).forEach(m -> {
+                    long token = Long.parseLong(m.group(4));
+                    assertEquals(m.group(1), holders.get(token), "acts with another's token: " + m.group());
+                    if (m.group(3).equals("Let") || m.group(3).equals("Withdraw")) {
+                        assertTrue(token >= greatest[0], "acts after a later token: " + m.group());
+                        greatest[0] = token;
+                    }
+                });
+        assertFalse(lines.stream().anyMatch(l -> l.contains("cluster.unexpected")), "an error: see the log");
+    }
+
+    private void everywhereOut(List<Fleet.Member> among, int count) throws InterruptedException {
+        until(count + " out at " + among.stream().map(m -> m.name).toList(),
+                () -> among.stream().allMatch(m -> m.outOfRotation() == count));
+    }
+
+    @Test
+    void whatIsSaidAtOneCountsAtAllAndOneCacheOfAZoneIsOutAtATime() throws Exception {
+        until("out", () -> fleet.members.get(0).enter(CACHE));
+        everywhereOut(fleet.members, 1);
+        assertFalse(fleet.members.get(1).enter(OTHER), "a second one of the zone");
+        everywhereOut(fleet.members, 1);
+        // It waits in line: the warden lets it as soon as the first is back.
+        until("back", () -> fleet.members.get(2).exit(CACHE));
+        until("the next is let", () -> fleet.members.stream().allMatch(m -> m.out(OTHER)));
+        everywhereOut(fleet.members, 1);
+        assertEquals(0, fleet.run("cluster", "status", "--admin", Fleet.HOST + ":" + fleet.members.get(0).admin));
+        assertTrue(fleet.logged("line out " + OTHER));
+    }
+
+    @Test
+    void theHolderIsKilledAndItsDutyAndCallsInLineSurvive() throws Exception {
+        Fleet.Member warden = fleet.awaitHolder("warden", fleet.members);
+        List<Fleet.Member> rest = fleet.but(warden);
+        until("out", () -> rest.get(0).enter(CACHE));
+        assertFalse(rest.get(1).enter(OTHER));
+        warden.kill();
+        fleet.awaitHolder("warden", rest);
+        until("back", () -> rest.get(0).exit(CACHE));
+        until("granted by the next warden", () -> rest.stream().allMatch(m -> m.out(OTHER)));
+        warden.start();
+        until("it comes back and learns", () -> warden.out(OTHER) && warden.outOfRotation() == 1);
+    }
+
+    @Test
+    void aHolderThatStoodStillForLongerThanItsLeaseDoesNothingMore() throws Exception {
+        Fleet.Member warden = fleet.awaitHolder("warden", fleet.members);
+        List<Fleet.Member> rest = fleet.but(warden);
+        warden.signal("STOP");
+        Fleet.Member next = fleet.awaitHolder("warden", rest);
+        until("the next one acts", () -> rest.get(0).enter(CACHE));
+        warden.signal("CONT");
+        until("it sees who holds the duty", () -> warden.out(CACHE) && fleet.holder("warden", List.of(warden)) == null);
+        until("back", () -> warden.exit(CACHE));
+        until("and out again by the next one", () -> rest.get(1).enter(CACHE));
+        assertTrue(next.process.isAlive());
+    }
+
+    @Test
+    void aHolderThatIsCutOffOneWayOrBothLosesItsDutyAndServesOn() throws Exception {
+        until("out", () -> fleet.members.get(0).enter(CACHE));
+        for (boolean hears : new boolean[] {true, false}) {
+            everywhereOut(fleet.members, 1);
+            Fleet.Member warden = fleet.awaitHolder("warden", fleet.members);
+            List<Fleet.Member> rest = fleet.but(warden);
+            fleet.cutOff(warden, hears, false);
+            fleet.awaitLeader(rest);
+            fleet.awaitHolder("warden", rest);
+            if (!hears) {
+                assertFalse(warden.exit(CACHE), "a minority changes nothing");
+                assertEquals(1, warden.outOfRotation(), "and goes by what was agreed");
+                until("the majority says otherwise", () -> rest.get(0).exit(CACHE));
+                everywhereOut(rest, 0);
+                assertEquals(1, warden.outOfRotation());
+                until("and out again", () -> rest.get(0).enter(CACHE));
+                until("and back", () -> rest.get(1).exit(CACHE));
+            }
+            fleet.mend();
+            if (!hears) {
+                everywhereOut(fleet.members, 0);
+            }
+        }
+    }
+
+    @Test
+    void withoutAMajorityNothingChangesAndAllComeBackByThemselves() throws Exception {
+        until("out", () -> fleet.members.get(0).enter(CACHE));
+        everywhereOut(fleet.members, 1);
+        Fleet.Member left = fleet.members.get(2);
+        fleet.members.get(0).kill();
+        fleet.members.get(1).kill();
+        assertFalse(left.exit(CACHE), "one of three agrees on nothing");
+        assertEquals(1, left.outOfRotation());
+        left.kill();
+        // Alone from its folder it goes by what was agreed.
+        left.start();
+        until("it remembers", () -> left.outOfRotation() == 1);
+        assertFalse(left.exit(CACHE));
+        fleet.members.get(0).start();
+        until("with one more it agrees again", () -> left.exit(CACHE));
+        fleet.members.get(1).start();
+        everywhereOut(fleet.members, 0);
+        fleet.members.forEach(m -> m.process.destroyForcibly());
+        fleet.start();
+        fleet.awaitLeader(fleet.members);
+        everywhereOut(fleet.members, 0);
+    }
+
+    @Test
+    void aMemberWithoutItsFolderLearnsAnewAndOneIsReplacedWhileTheOthersServe() throws Exception {
+        until("out", () -> fleet.members.get(0).enter(CACHE));
+        Fleet.Member leader = fleet.awaitLeader(fleet.members);
+        for (Fleet.Member lost : fleet.but(leader)) {
+            lost.kill();
+            delete(lost.data);
+            lost.start(); // Not laid again: a newcomer.
+            until("it votes again", () -> {
+                Fleet.Member l = fleet.leader(fleet.members);
+                JsonObject s = l == null ? null : l.status();
+                return s != null && lost.out(CACHE) && s.getJsonArray("members").stream().map(o -> (JsonObject) o)
+                        .allMatch(o -> o.getBoolean("voter"));
+            });
+        }
+        everywhereOut(fleet.members, 1);
+        leader.kill();
+        fleet.awaitLeader(fleet.but(leader));
+        until("back", () -> fleet.but(leader).get(0).exit(CACHE));
+    }
+
+    @Test
+    void aPlannedStopHandsOnFirst() throws Exception {
+        Fleet.Member warden = fleet.awaitHolder("warden", fleet.members);
+        warden.signal("TERM");
+        assertEquals(0, warden.process.waitFor());
+        assertTrue(fleet.log.stream().noneMatch(l -> l.startsWith(warden.name + " ") && l.contains("ERROR")));
+        fleet.awaitHolder("warden", fleet.but(warden));
+        // A stand-by hands on too, and keeps its vote.
+        Fleet.Member next = fleet.awaitHolder("warden", fleet.but(warden));
+        assertTrue(next.call("POST /standby", "").startsWith("HTTP/1.1 200"));
+        until("handed on", () -> {
+            Fleet.Member h = fleet.holder("warden", fleet.but(warden));
+            return h != null && h != next;
+        });
+        Fleet.Member holder = fleet.awaitHolder("warden", fleet.but(warden));
+        assertTrue(next.call("POST /active", "").startsWith("HTTP/1.1 200"));
+        until("handed on by an operator", () -> {
+            try {
+                return fleet.run("cluster", "hand-on", "warden", "--to", next.name, "--admin",
+                        Fleet.HOST + ":" + holder.admin) == 0;
+            } catch (Exception e) {
+                return false;
+            }
+        });
+        until("to whom it was to go", () -> fleet.holder("warden", List.of(next)) != null);
+    }
+
+    @Test
+    void slowLinksThatLoseAndDelayOnlyDelay() throws Exception {
+        for (Fleet.Member a : fleet.members) {
+            for (Fleet.Member b : fleet.but(a)) {
+                fleet.link(a, b).delay(15);
+                fleet.link(a, b).slow(700);
+            }
+        }
+        until("out", () -> fleet.members.get(0).enter(CACHE));
+        fleet.link(fleet.members.get(0), fleet.members.get(1)).reset();
+        fleet.link(fleet.members.get(2), fleet.members.get(1)).reset();
+        everywhereOut(fleet.members, 1);
+        until("back", () -> fleet.members.get(1).exit(CACHE));
+        everywhereOut(fleet.members, 0);
+    }
+
+    @Test
+    void aFullDiskSilencesTheMemberAndNotTheDirector() throws Exception {
+        Fleet.Member full = fleet.but(fleet.awaitLeader(fleet.members)).get(0);
+        List<Fleet.Member> rest = fleet.but(full);
+        full.kill();
+        full.blocks = 8; // No file over 8 KB: soon there is no room for the log.
+        full.start();
+        until("the disk is full", () -> {
+            rest.get(0).enter(CACHE);
+            rest.get(1).exit(CACHE);
+            return fleet.logged(full.name + " ") && fleet.log.stream().anyMatch(l -> l.startsWith(full.name)
+                    && l.contains("cluster.disk_failed"));
+        });
+        until("the others agree on", () -> rest.get(0).enter(CACHE));
+        assertTrue(full.call("GET /status", "").startsWith("HTTP/1.1 200"), "the director serves on");
+        full.kill();
+        full.blocks = 0;
+        full.start();
+        until("with room again it catches up", () -> full.out(CACHE));
+    }
+
+    @Test
+    void whatCannotBeUsedIsRefusedWithAReason() throws Exception {
+        Fleet.Member m = fleet.members.get(0);
+        m.kill();
+        // Two processes, one folder.
+        Fleet.Member twin = fleet.new Member(0);
+        twin.config = m.config;
+        m.start();
+        until("open", () -> m.status() != null);
+        twin.start();
+        assertEquals(2, twin.process.waitFor());
+        until("told", () -> fleet.logged("is in use by another process"));
+        assertEquals(1, fleet.run("cluster", "init", m.config.toString()), "a used folder is not laid again");
+        assertEquals(0, fleet.run("cluster", "inspect", m.data.toString()), "a look changes nothing");
+        until("unharmed", () -> m.status() != null && m.status().getBoolean("open"));
+        m.kill();
+        // Damage before what was saved later.
+        Path log;
+        try (Stream<Path> files = Files.list(m.data)) {
+            log = files.filter(f -> f.getFileName().toString().startsWith("log-"))
+                    .max(Comparator.comparingLong(f -> f.toFile().length())).orElseThrow();
+        }
+        try (FileChannel f = FileChannel.open(log, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            f.write(java.nio.ByteBuffer.wrap(new byte[] {7, 7, 7}), f.size() / 2);
+        }
+        m.start();
+        assertEquals(2, m.process.waitFor());
+        until("told", () -> fleet.logged("empty the folder and let the member learn anew from the others"));
+        delete(m.data);
+        Files.writeString(m.data, "no folder");
+        m.start();
+        assertEquals(2, m.process.waitFor());
+        Files.delete(m.data);
+        m.start();
+        until("as a newcomer it comes back", () -> m.status() != null && m.status().getString("leader") != null);
+    }
+
+    private static void delete(Path folder) throws Exception {
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(p);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pewtercourse/cluster/Fleet.java
@@ -0,0 +1,291 @@
+package pewtercourse.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** Some directors as processes of the program, a relay on each link between two of them. */
+final class Fleet implements AutoCloseable {
+    static final String HOST = "127.0.0.1";
+    // Far over what anything here takes: only a condition that never comes runs into it.
+    private static final long PATIENCE_MS = 90_000;
+
+    final Path folder;
+    final int size;
+    final List<Member> members = new ArrayList<>();
+    final List<String> log = Collections.synchronizedList(new ArrayList<>());
+    private final Vertx vertx = Vertx.vertx();
+    private final Relay[][] links;
+    private final JsonObject settings;
+
+    final class Member {
+        final int number;
+        final String name;
+        final int port, admin, listen;
+        Path data, config;
+        int blocks; // The greatest file it may write, in KB; 0: any.
+        Process process;
+
+        Member(int number) throws IOException {
+            this.number = number;
+            this.name = "d" + number;
+            this.port = free();
+            this.admin = free();
+            this.listen = free();
+            this.data = folder.resolve("data-" + name);
+        }
+
+        void start() throws IOException {
+            List<String> java = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx96m",
+                    "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-XX:-UsePerfData", "-cp", System.getProperty("java.class.path"),
+                    "pewtercourse.Main", "serve");
+            List<String> command = blocks == 0 ? java : new ArrayList<>(List.of("bash", "-c",
+                    "ulimit -f " + blocks + "; exec \"$@\"", "limited"));
+            if (blocks > 0) {
+                command.addAll(java);
+            }
+            ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true);
+            b.environment().put("GW_CONFIG", folder.resolve("config-" + name + ".json").toString());
+            b.environment().put("GW_CLUSTER", config.toString());
+            b.environment().put("GW_ADMIN_ADDR", HOST + ":" + admin);
+            process = b.start();
+            Process started = process;
+            Thread reader = new Thread(() -> started.inputReader().lines().forEach(l -> log.add(name + " " + l)));
+            reader.setDaemon(true);
+            reader.start();
+        }
+
+        void kill() throws Exception {
+            process.destroyForcibly().waitFor();
+        }
+
+        void signal(String signal) throws Exception {
+            assertEquals(0, new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor());
+        }
+
+        /** Null where it does not answer in time. */
+        JsonObject status() {
+            try {
+                String s = call("GET /cluster/status", "");
+                return s.startsWith("HTTP/1.1 200") ? new JsonObject(s.substring(s.indexOf("\r\n\r\n") + 4)) : null;
+            } catch (IOException | RuntimeException e) {
+                return null;
+            }
+        }
+
+        String call(String line, String body) throws IOException {
+            try (Socket s = new Socket(HOST, admin)) {
+                s.setSoTimeout(4_000);
+                s.getOutputStream().write((line + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length()
+                        + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
+                return new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            }
+        }
+
+        boolean enter(String target) {
+            return said("/maintenance/enter", target);
+        }
+
+        boolean exit(String target) {
+            return said("/maintenance/exit", target);
+        }
+
+        private boolean said(String path, String target) {
+            try {
+                return call("POST " + path, "{\"target\":\"" + target + "\"}").startsWith("HTTP/1.1 200");
+            } catch (IOException e) {
+                return false;
+            }
+        }
+
+        boolean out(String target) {
+            JsonObject s = status();
+            return s != null && s.getBoolean("open") && s.getJsonObject("out").containsKey(target);
+        }
+
+        /** What it uses to decide: the figure counts what is out at this director. */
+        int outOfRotation() {
+            try {
+                return call("GET /status/metrics", "").lines().filter(l -> l.startsWith("out_of_rotation="))
+                        .mapToInt(l -> Integer.parseInt(l.split("=")[1])).findFirst().orElse(-1);
+            } catch (IOException e) {
+                return -1;
+            }
+        }
+    }
+
+    /** {@code settings}: of cluster.json, besides what differs from member to member. */
+    Fleet(Path folder, int size, JsonObject settings) throws Exception {
+        this.folder = folder;
+        this.size = size;
+        this.settings = settings;
+        for (int i = 0; i < size; i++) {
+            members.add(new Member(i));
+        }
+        links = new Relay[size][size];
+        for (int i = 0; i < size; i++) {
+            for (int j = 0; j < size; j++) {
+                if (i != j) {
+                    links[i][j] = new Relay(vertx, members.get(j).port);
+                }
+            }
+        }
+        for (Member m : members) {
+            write(m);
+        }
+    }
+
+    private void write(Member m) throws IOException {
+        JsonArray all = new JsonArray();
+        for (Member o : members) {
+            all.add(new JsonObject().put("name", o.name).put("address",
+                    HOST + ":" + (o == m ? o.port : links[m.number][o.number].port())));
+        }
+        m.config = Files.writeString(folder.resolve("cluster-" + m.name + ".json"), settings.copy()
+                .put("cluster", "test").put("name", m.name).put("listen", HOST + ":" + m.port)
+                .put("data", m.data.toString()).put("members", all).encode());
+        JsonObject config = new JsonObject(Files.readString(Path.of("examples/config.json")))
+                .put("listen", HOST + ":" + m.listen).put("peers", new JsonArray());
+        config.remove("feed");
+        config.remove("peer_listen");
+        // A list that has changed before: no warm-up.
+        config.getJsonObject("known").getJsonArray("events").getJsonObject(0).getJsonObject("members").put("seq", 1);
+        Files.writeString(folder.resolve("config-" + m.name + ".json"), config.encode());
+    }
+
+    void found() throws Exception {
+        for (Member m : members) {
+            found(m);
+        }
+    }
+
+    void found(Member m) throws Exception {
+        assertEquals(0, run("cluster", "init", m.config.toString()));
+    }
+
+    /** The command line, as a process; its output is added to the log. */
+    int run(String... args) throws Exception {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "pewtercourse.Main"));
+        command.addAll(List.of(args));
+        Process p = new ProcessBuilder(command).redirectErrorStream(true).start();
+        p.inputReader().lines().forEach(l -> log.add("line " + l));
+        return p.waitFor();
+    }
+
+    void start() throws IOException {
+        for (Member m : members) {
+            m.start();
+        }
+    }
+
+    Relay link(Member from, Member to) {
+        return links[from.number][to.number];
+    }
+
+    /** {@code hears}, {@code heard}: whether what the others say still comes in, and what it says still goes out. */
+    void cutOff(Member m, boolean hears, boolean heard) {
+        for (Member o : members) {
+            if (o != m) {
+                links[m.number][o.number].cut(!heard, !hears);
+                links[o.number][m.number].cut(!hears, !heard);
+            }
+        }
+    }
+
+    void mend() {
+        for (Relay[] row : links) {
+            for (Relay r : row) {
+                if (r != null) {
+                    r.mend();
+                }
+            }
+        }
+    }
+
+    static void until(String what, Supplier<Boolean> holds) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
+        while (!holds.get()) {
+            assertTrue(System.nanoTime() < end, "never came: " + what);
+            Thread.sleep(20);
+        }
+    }
+
+    /** A member that leads, and that a majority has just confirmed; null if none does. */
+    Member leader(List<Member> among) {
+        for (Member m : among) {
+            JsonObject s = m.process != null && m.process.isAlive() ? m.status() : null;
+            if (s != null && s.getBoolean("open") && s.getBoolean("confirmed")) {
+                return m;
+            }
+        }
+        return null;
+    }
+
+    Member awaitLeader(List<Member> among) throws InterruptedException {
+        Member[] leader = new Member[1];
+        until("a leader among " + among.stream().map(m -> m.name).toList(), () -> (leader[0] = leader(among)) != null);
+        return leader[0];
+    }
+
+    /** Who holds a duty and has taken it up, as its holder itself says; null if nobody does. */
+    Member holder(String duty, List<Member> among) {
+        for (Member m : among) {
+            JsonObject s = m.process.isAlive() ? m.status() : null;
+            if (s != null && s.getBoolean("open") && s.getJsonArray("duties").stream().map(d -> (JsonObject) d)
+                    .anyMatch(d -> d.getString("duty").equals(duty) && d.getValue("left_ms") instanceof Number n && n.longValue() > 0)) {
+                return m;
+            }
+        }
+        return null;
+    }
+
+    Member awaitHolder(String duty, List<Member> among) throws InterruptedException {
+        Member[] holder = new Member[1];
+        until("a holder of " + duty, () -> (holder[0] = holder(duty, among)) != null);
+        return holder[0];
+    }
+
+    List<Member> but(Member... without) {
+        List<Member> rest = new ArrayList<>(members);
+        rest.removeAll(List.of(without));
+        return rest;
+    }
+
+    static int free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            return s.getLocalPort();
+        }
+    }
+
+    boolean logged(String part) {
+        synchronized (log) {
+            return log.stream().anyMatch(l -> l.contains(part));
+        }
+    }
+
+    @Override
+    public void close() {
+        members.forEach(m -> {
+            if (m.process != null) {
+                m.process.destroyForcibly();
+            }
+        });
+        vertx.close();
+    }
+}
