Measure how duties change hands; hand on to another; fault tests on ports that stay free

Found by it and mended: a duty handed on to nobody in particular came back to its giver; a change was told with the next heartbeat only (an agreed call took 50 ms). Fault tests: a port drawn by binding 0 was given away again before its process listened (seen: admin.not_listening, Address already in use, in target/fault-logs), and a stream ran over the log while readers added to it. Ports are now drawn below the system's range; the log is kept in a file for each test.

--- a/src/main/java/pewtercourse/CommandLine.java
+++ b/src/main/java/pewtercourse/CommandLine.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Callable;
 import pewtercourse.config.ClusterConfig;
 import pewtercourse.config.ConfigException;
+import pewtercourse.experiment.Experiments;
 import pewtercourse.raft.Membership;
 import pewtercourse.raft.Saved;
 import pewtercourse.raft.store.Store;
@@ -24,7 +25,8 @@
  * The operators' command line. Exit codes: 0 done, 1 a no for a reason that is told, 2 the call can't be used, 3 nobody
  * answers or a majority is missing.
  */
-@Command(name = "pewtercourse", description = "A director of caches.", subcommands = CommandLine.Cluster.class,
+@Command(name = "pewtercourse", description = "A director of caches.", subcommands = {CommandLine.Cluster.class,
+        CommandLine.Experiment.class},
         mixinStandardHelpOptions = true, footer = {"", "Besides: serve, benchlink and rehearse CONFIG."})
 final class CommandLine {
     static final int DONE = 0, NO = 1, UNUSABLE = 2, UNREACHED = 3;
@@ -80,6 +82,23 @@
         }
     }
 
+    @Command(name = "experiment", description = "Measures on this machine; tables, files of columns and charts.",
+            mixinStandardHelpOptions = true)
+    static final class Experiment {
+        @Command(name = "duties", description = "How duties change hands, beside two baselines, and what the log does.",
+                mixinStandardHelpOptions = true)
+        int duties(@Option(names = "--into", paramLabel = "FOLDER", defaultValue = "target/experiment") Path into,
+                @Option(names = "--seeds", defaultValue = "200") int seeds) throws Exception {
+            try {
+                Experiments.duties(into, seeds);
+                return DONE;
+            } catch (NoClassDefFoundError e) {
+                System.err.println("pewtercourse: experiments are in target/pewtercourse-tools.jar");
+                return UNUSABLE;
+            }
+        }
+    }
+
     @Command(name = "cluster", description = "Directors that agree: their members and duties.",
             mixinStandardHelpOptions = true, subcommands = {Status.class, HandOn.class, Transfer.class, Add.class,
                 Remove.class, Init.class, Inspect.class})
--- a/src/main/java/pewtercourse/cluster/Cluster.java
+++ b/src/main/java/pewtercourse/cluster/Cluster.java
@@ -75,7 +75,7 @@
     private Disk disk;
     private MemberNet net;
     private Raft raft; // Null while the folder is not open.
-    private long timer = -1, reopenMs = REOPEN_FIRST_MS, nextRead = 1, applied, toldWords = -1;
+    private long timer = -1, reopenMs = REOPEN_FIRST_MS, nextRead = 1, applied, toldWords = -1, transferAt = -1;
     private String toldLeader = "";
     private final Map<String, Long> toldTokens = new HashMap<>();
     private boolean willing = true, closed, pumping;
@@ -479,6 +479,7 @@
     /** Whether it takes duties; when not, it hands on what it holds, and leadership too. */
     public void willing(boolean on) {
         willing = on;
+        transferAt = -1;
         if (raft != null) {
             duties.willing(on);
             pump();
@@ -493,13 +494,16 @@
         if (!duties.free()) {
             return raft.leader() == null;
         }
-        String heir = raft.heir(now());
-        if (raft.role() == Raft.Role.LEADER && heir != null) {
-            raft.transfer(now(), heir);
+        if (raft.role() != Raft.Role.LEADER) {
+            return true;
+        }
+        String heir = transferAt < 0 ? raft.heir(now()) : null;
+        if (heir != null) {
+            transferAt = now();
+            raft.transfer(transferAt, heir);
             pump();
-            return false;
         }
-        return true;
+        return transferAt < 0 || now() - transferAt > config.raft().electionTo();
     }
 
     /** By an operator: the duty's holder is to hand it on, to {@code to} or, if that is empty, to whoever is best. */
--- a/src/main/java/pewtercourse/duty/Assigner.java
+++ b/src/main/java/pewtercourse/duty/Assigner.java
@@ -64,8 +64,9 @@
                 Map<String, String> others = new TreeMap<>(now0);
                 others.remove(name);
                 Set<String> but = new TreeSet<>(able);
-                if (!d.holder().isEmpty() && but.size() > 1) {
-                    but.remove(d.holder()); // It had its time and did not take it up, or let it lapse.
+                if (but.size() > 1) {
+                    // It has handed it on, let it lapse, or not taken it up.
+                    but.remove(d.holder().isEmpty() ? d.preferred() : d.holder());
                 }
                 String to = best(name, but, others);
                 if (order(now, orders, "assign " + name, new Command.Assign(name, to, d.token(), d.renewals()))) {
--- a/src/main/java/pewtercourse/duty/DutyState.java
+++ b/src/main/java/pewtercourse/duty/DutyState.java
@@ -22,7 +22,8 @@
 
     /**
      * {@code holder} empty: nobody's. {@code renewals} 0: assigned, and not taken up yet. {@code moves}: the holder is to
-     * hand it on, to {@code preferred} or, if that is empty, to whoever is best.
+     * hand it on, to {@code preferred} or, if that is empty, to whoever is best. Of nobody's duty {@code preferred} is who
+     * has just handed it on, and gets it back only if there is no other.
      */
     public record Duty(String holder, long token, long renewals, boolean moves, String preferred) {
         static final Duty NOBODYS = of("", 0);
@@ -127,7 +128,7 @@
         if (d.token() != h.token() || !d.holder().equals(by)) {
             return new Result("an older token");
         }
-        duties.put(h.duty(), Duty.of(h.to(), ++lastToken));
+        duties.put(h.duty(), new Duty(h.to(), ++lastToken, 0, false, h.to().isEmpty() ? by : ""));
         return Result.DONE;
     }
 
--- a/src/main/java/pewtercourse/experiment/ClusterSim.java
+++ b/src/main/java/pewtercourse/experiment/ClusterSim.java
@@ -213,7 +213,7 @@
                 raft.propose(clock(), bytes);
             } else if (raft.leader() != null) {
                 Node to = node(raft.leader());
-                at(now + stopped(), () -> carry(this, to, () -> {
+                at(now + stopped(s.command()), () -> carry(this, to, () -> {
                     to.raft.propose(to.clock(), bytes);
                     to.pump();
                 }));
@@ -221,8 +221,8 @@
         }
 
         // Between the check of the lease and the sending a process can be stopped for any time.
-        private long stopped() {
-            return random.nextInt(40) == 0 ? random.nextInt(3_000_000) : 0;
+        private long stopped(Command c) {
+            return random.nextInt(c instanceof Command.Let ? 4 : 40) == 0 ? random.nextInt(3_000_000) : 0;
         }
 
         private void sync() {
--- /dev/null
+++ b/src/main/java/pewtercourse/experiment/Experiments.java
@@ -0,0 +1,17 @@
+package pewtercourse.experiment;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Entry of the experiments; their libraries are in the jar of tools alone. */
+public final class Experiments {
+    private Experiments() { }
+
+    /** {@code duties}: how duties change hands, what the log does, how budgets are used; files go into {@code into}. */
+    public static void duties(Path into, int seeds) throws Exception {
+        DutiesExperiment.run(into, seeds);
+        String log = "\n" + LogExperiment.rates() + "\n" + LogExperiment.recovery();
+        Files.writeString(into.resolve("duties-hand-over.md"), log, java.nio.file.StandardOpenOption.APPEND);
+        System.out.print(log);
+    }
+}
--- a/src/main/java/pewtercourse/raft/Raft.java
+++ b/src/main/java/pewtercourse/raft/Raft.java
@@ -780,8 +780,9 @@
         }
         commitTo(to);
         confirmReads();
+        // Told at once: a member that asked would else learn of it with the next heartbeat.
+        progress.forEach((name, p) -> sendAppend(now, name, p, p.partAt < 0));
         if (membersAt <= commit && !members.votes(self, incarnation)) {
-            progress.forEach((name, p) -> sendAppend(now, name, p, true)); // So that they know of it too.
             stepDown(now, term, null);
         }
     }
--- a/src/test/java/pewtercourse/cluster/ClusterFaultTest.java
+++ b/src/test/java/pewtercourse/cluster/ClusterFaultTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.regex.Matcher;
@@ -20,6 +21,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInfo;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -40,8 +42,8 @@
     private Fleet fleet;
 
     @BeforeEach
-    void start() throws Exception {
-        fleet = new Fleet(folder, 3, SETTINGS);
+    void start(TestInfo test) throws Exception {
+        fleet = new Fleet(test.getTestMethod().orElseThrow().getName(), folder, 3, SETTINGS);
         fleet.found();
         fleet.start();
         fleet.awaitLeader(fleet.members);
@@ -55,11 +57,8 @@
     }
 
     /** What the members logged as agreed and as done. */
-    static void checkActs(List<String> log) {
-        List<String> lines;
-        synchronized (log) {
-            lines = new ArrayList<>(log);
-        }
+    static void checkActs(Collection<String> log) {
+        List<String> lines = new ArrayList<>(log);
         var holders = new java.util.TreeMap<Long, String>();
         for (String l : lines) {
             Matcher m = ASSIGNED.matcher(l);
@@ -208,13 +207,13 @@
         fleet.awaitHolder("warden", fleet.but(warden));
         // A stand-by hands on too, and keeps its vote.
         Fleet.Member next = fleet.awaitHolder("warden", fleet.but(warden));
-        assertTrue(next.call("POST /standby", "").startsWith("HTTP/1.1 200"));
+        assertTrue(next.call("POST /standby", "").startsWith("HTTP/1.1 200"), () -> fleet.told());
         until("handed on", () -> {
             Fleet.Member h = fleet.holder("warden", fleet.but(warden));
             return h != null && h != next;
         });
         Fleet.Member holder = fleet.awaitHolder("warden", fleet.but(warden));
-        assertTrue(next.call("POST /active", "").startsWith("HTTP/1.1 200"));
+        assertTrue(next.call("POST /active", "").startsWith("HTTP/1.1 200"), () -> fleet.told());
         until("handed on by an operator", () -> {
             try {
                 return fleet.run("cluster", "hand-on", "warden", "--to", next.name, "--admin",
--- a/src/test/java/pewtercourse/cluster/Fleet.java
+++ b/src/test/java/pewtercourse/cluster/Fleet.java
@@ -7,28 +7,38 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /** Some directors as processes of the program, a relay on each link between two of them. */
 final class Fleet implements AutoCloseable {
     static final String HOST = "127.0.0.1";
+    private static final int PORTS_FROM = 12_000, PORTS_TO = 32_000; // Below those that the system gives by itself.
+    private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
+    private static final SecureRandom RANDOM = new SecureRandom();
     // Far over what anything here takes: only a condition that never comes runs into it.
     private static final long PATIENCE_MS = 90_000;
 
+    final String name;
     final Path folder;
     final int size;
     final List<Member> members = new ArrayList<>();
-    final List<String> log = Collections.synchronizedList(new ArrayList<>());
+    final Queue<String> log = new ConcurrentLinkedQueue<>(); // Several readers add while a test looks.
     private final Vertx vertx = Vertx.vertx();
     private final Relay[][] links;
     private final JsonObject settings;
@@ -63,6 +73,7 @@
             b.environment().put("GW_CONFIG", folder.resolve("config-" + name + ".json").toString());
             b.environment().put("GW_CLUSTER", config.toString());
             b.environment().put("GW_ADMIN_ADDR", HOST + ":" + admin);
+            b.environment().remove("TMPDIR"); // There two processes of one director leave word for one another.
             process = b.start();
             Process started = process;
             Thread reader = new Thread(() -> started.inputReader().lines().forEach(l -> log.add(name + " " + l)));
@@ -129,8 +140,12 @@
         }
     }
 
-    /** {@code settings}: of cluster.json, besides what differs from member to member. */
-    Fleet(Path folder, int size, JsonObject settings) throws Exception {
+    /**
+     * {@code name}: of the file in target/fault-logs that keeps what all members logged; {@code settings}: of
+     * cluster.json, besides what differs from member to member.
+     */
+    Fleet(String name, Path folder, int size, JsonObject settings) throws Exception {
+        this.name = name;
         this.folder = folder;
         this.size = size;
         this.settings = settings;
@@ -267,20 +282,41 @@
         return rest;
     }
 
+    /**
+     * A port that nobody uses, and nobody is given by the system either: one that was drawn by binding 0 may be given to a
+     * connection, or a relay, before the process that is to listen on it starts.
+     */
     static int free() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return s.getLocalPort();
+        for (int tries = 0; tries < 1_000; tries++) {
+            int port = PORTS_FROM + RANDOM.nextInt(PORTS_TO - PORTS_FROM);
+            if (GIVEN.add(port)) {
+                try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                    return s.getLocalPort();
+                } catch (BindException e) {
+                    continue;
+                }
+            }
         }
+        throw new IOException("no free port from " + PORTS_FROM + " to " + PORTS_TO);
     }
 
     boolean logged(String part) {
-        synchronized (log) {
-            return log.stream().anyMatch(l -> l.contains(part));
-        }
+        return log.stream().anyMatch(l -> l.contains(part));
+    }
+
+    /** All that the members logged, for a message. */
+    String told() {
+        return String.join("\n", log);
     }
 
     @Override
     public void close() {
+        try {
+            Path logs = Files.createDirectories(Path.of("target/fault-logs"));
+            Files.write(logs.resolve(name + ".log"), log);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
         members.forEach(m -> {
             if (m.process != null) {
                 m.process.destroyForcibly();
--- a/src/test/java/pewtercourse/experiment/ClusterSimTest.java
+++ b/src/test/java/pewtercourse/experiment/ClusterSimTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -89,29 +91,26 @@
 
     @Test
     void throughAllFaultsNothingAgreedIsLostAndNoDutyIsHeldTwice() {
-        long acts = 0, lent = 0;
-        for (long seed = 0; seed < SEEDS; seed++) {
+        AtomicLong acts = new AtomicLong(), lent = new AtomicLong();
+        LongStream.range(0, SEEDS).parallel().forEach(seed -> {
             ClusterSim sim = play(seed, ClusterSim.Planted.NONE);
             boolean well = sim.until(20 * SECOND, () -> sim.leader() != null && sim.set.names().stream().allMatch(duty ->
                     sim.nodes.stream().anyMatch(n -> n.duties.token(duty, n.clock()) > 0)));
             assertNull(sim.trouble, "seed " + seed);
             assertTrue(well, "seed " + seed + ": no leader, or a duty that nobody holds, after the faults were over");
-            acts += sim.acts;
-            lent += sim.lentMost;
-        }
-        assertTrue(acts > SEEDS, "the warden acts: " + acts);
-        assertTrue(lent > 0, "the divider lends: " + lent);
+            acts.addAndGet(sim.acts);
+            lent.addAndGet(sim.lentMost);
+        });
+        assertTrue(acts.get() > SEEDS, "the warden acts: " + acts);
+        assertTrue(lent.get() > 0, "the divider lends: " + lent);
     }
 
     @ParameterizedTest
     @EnumSource(value = ClusterSim.Planted.class, names = {"SAID_BEFORE_SAVED", "LEASE_FROM_ANSWER", "TOKEN_UNCHECKED",
         "LOAN_FROM_ANSWER"})
     void aPlantedFaultIsFound(ClusterSim.Planted planted) {
-        long seed = 0;
-        while (seed < SEEDS_PLANTED && play(seed, planted).trouble == null) {
-            seed++;
-        }
-        assertTrue(seed < SEEDS_PLANTED, "not found: " + planted);
+        assertTrue(LongStream.range(0, SEEDS_PLANTED).parallel().anyMatch(seed -> play(seed, planted).trouble != null),
+                "not found: " + planted);
     }
 
     /** How far the term rises when a member that was cut off for long comes back. */
@@ -139,7 +138,7 @@
 
     @Test
     void aMemberThatLostItsFolderLearnsAnewAndVotesAgain() {
-        for (long seed = 0; seed < 40; seed++) {
+        LongStream.range(0, 40).parallel().forEach(seed -> {
             ClusterSim sim = new ClusterSim(seed, 3, ClusterSim.Planted.NONE);
             sim.at(2 * SECOND, () -> {
                 ClusterSim.Node n = sim.nodes.get(sim.random.nextInt(3));
@@ -155,6 +154,6 @@
                     && sim.node(sim.leader()).raft.members().voters() == 3);
             assertNull(sim.trouble, "seed " + seed);
             assertTrue(votes, "seed " + seed + ": a member is missing, " + sim.leader());
-        }
+        });
     }
 }
