--- a/src/main/java/pewtercourse/Agreement.java
+++ b/src/main/java/pewtercourse/Agreement.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
 import java.util.Map;
+import java.util.function.Supplier;
 import pewtercourse.admin.ClusterCalls;
 import pewtercourse.admin.Operations.Verdict;
 import pewtercourse.cluster.Cluster;
@@ -47,9 +48,9 @@
     Future<Verdict> takeOut(String target) {
         long now = System.currentTimeMillis();
         if (!cluster.hasWarden()) {
-            return agreed("operator.out", target, new Command.Out(target, now));
+            return agreed("operator.out", target, () -> new Command.Out(target, now, lastWord(target)));
         }
-        return agreed("operator.asked", target, new Command.Ask(target, zoneOf(target), now)).compose(v -> {
+        return agreed("operator.asked", target, () -> new Command.Ask(target, zoneOf(target), now, lastWord(target))).compose(v -> {
             if (v != Verdict.DONE) {
                 return Future.succeededFuture(v);
             }
@@ -66,17 +67,23 @@
             return Future.succeededFuture(Verdict.refused("not out: as many of its zone are out as may be; it waits, "
                     + before + " before it: call again, or call it back"));
         }
-        return cluster.agree(new Command.Withdraw(target, t.number(), 0, System.currentTimeMillis()))
+        Command withdraw = new Command.Withdraw(target, t.number(), 0, System.currentTimeMillis());
+        return cluster.agree(() -> withdraw)
                 .map(r -> Verdict.refused("not out: as many of its zone are out as may be"))
                 .otherwise(e -> Verdict.refused("not out yet, and may be later: " + e.getMessage()));
     }
 
     Future<Verdict> putBack(String target) {
-        return agreed("operator.in", target, new Command.Back(target, System.currentTimeMillis()));
+        long now = System.currentTimeMillis();
+        return agreed("operator.in", target, () -> new Command.Back(target, now, lastWord(target)));
+    }
+
+    private long lastWord(String target) {
+        return cluster.state().lastWord(target);
     }
 
-    private Future<Verdict> agreed(String event, String target, Command c) {
-        return cluster.agree(c).map(r -> r.done() ? Verdict.DONE : Verdict.refused(r.why()))
+    private Future<Verdict> agreed(String event, String target, Supplier<Command> word) {
+        return cluster.agree(word).map(r -> r.done() ? Verdict.DONE : Verdict.refused(r.why()))
                 .otherwise(e -> Verdict.refused("not agreed: " + e.getMessage()))
                 .onSuccess(v -> {
                     if (v.refused() == null) {
@@ -87,6 +94,13 @@
                 });
     }
 
+    /** Figures of the cluster, a line for each, NAME=VALUE. */
+    String figures() {
+        StringBuilder out = new StringBuilder();
+        cluster.figures().forEach((name, value) -> out.append(name).append('=').append(value).append('\n'));
+        return out.toString();
+    }
+
     @Override
     public Future<JsonObject> status() {
         return cluster.confirm().map(cluster::status);
--- a/src/main/java/pewtercourse/CommandLine.java
+++ b/src/main/java/pewtercourse/CommandLine.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import pewtercourse.config.ClusterConfig;
 import pewtercourse.config.ConfigException;
@@ -89,8 +90,26 @@
                 mixinStandardHelpOptions = true)
         int duties(@Option(names = "--into", paramLabel = "FOLDER", defaultValue = "target/experiment") Path into,
                 @Option(names = "--seeds", defaultValue = "200") int seeds) throws Exception {
+            return measured(() -> Experiments.duties(into, seeds));
+        }
+
+        @Command(name = "start", description = "Time to be ready and memory of serve, of one or more programs by turns, and with a"
+                + " cluster.", mixinStandardHelpOptions = true)
+        int start(@Option(names = "--into", paramLabel = "FOLDER", defaultValue = "target/experiment") Path into,
+                @Option(names = "--rounds", defaultValue = "15") int rounds,
+                @Option(names = "--config", paramLabel = "FILE", defaultValue = "examples/config.json") Path config,
+                @Parameters(paramLabel = "NAME=JAR", arity = "1..*", description = "the last one is started with a cluster too")
+                Map<String, Path> jars) throws Exception {
+            return measured(() -> Experiments.start(into, jars, rounds, config));
+        }
+
+        private interface Measurement {
+            void run() throws Exception;
+        }
+
+        private static int measured(Measurement what) throws Exception {
             try {
-                Experiments.duties(into, seeds);
+                what.run();
                 return DONE;
             } catch (NoClassDefFoundError e) {
                 System.err.println("pewtercourse: experiments are in target/pewtercourse-tools.jar");
--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -159,7 +159,8 @@
 
     @Override
     public String metrics() {
-        return figures.text(director.gauges(accepted, invalid));
+        String own = figures.text(director.gauges(accepted, invalid));
+        return agreement == null ? own : own + agreement.figures();
     }
 
     @Override
--- a/src/main/java/pewtercourse/cluster/Cluster.java
+++ b/src/main/java/pewtercourse/cluster/Cluster.java
@@ -56,9 +56,6 @@
     private static final long AGREE_MS = 1_300, CALL_AGAIN_MS = 150, READ_MS = 400, LET_MS = 400;
     private static final long REOPEN_FIRST_MS = 500, REOPEN_MOST_MS = 8_000;
 
-    /** A command of this member's that is not agreed yet. */
-    private record Pending(Command.Signed command, byte[] bytes, Promise<DutyState.Result> done) { }
-
     private final Vertx vertx;
     private final Context loop;
     private final Timers timers;
@@ -66,7 +63,7 @@
     private final ClusterHost host;
     private final Random random = new Random(new SecureRandom().nextLong());
     private final long started = System.nanoTime();
-    private final Map<Long, Pending> pending = new LinkedHashMap<>();
+    private final Map<Long, Call> pending = new LinkedHashMap<>();
     private final Map<Long, Promise<Boolean>> reads = new HashMap<>();
     private final Map<String, List<Promise<Boolean>>> letWaits = new HashMap<>(); // As many as the table of callers.
     private final Set<String> toldRegressed = new HashSet<>();
@@ -75,7 +72,8 @@
     private Disk disk;
     private MemberNet net;
     private Raft raft; // Null while the folder is not open.
-    private long timer = -1, reopenMs = REOPEN_FIRST_MS, nextRead = 1, applied, toldWords = -1, transferAt = -1;
+    private long timer = -1, reopenMs = REOPEN_FIRST_MS, nextRead = 1, applied, toldWords = -1, transferAt = -1,
+            diskFailures;
     private String toldLeader = "";
     private final Map<String, Long> toldTokens = new HashMap<>();
     private boolean willing = true, closed, pumping;
@@ -146,6 +144,7 @@
     }
 
     private void diskFailed(IOException e) {
+        diskFailures++;
         Log.warn("cluster.disk_failed", "error", e);
         shut("the disk failed");
         reopen();
@@ -166,8 +165,7 @@
     private void shut(String why) {
         timers.cancel(timer);
         raft = null;
-        pending.values().forEach(p -> p.done().tryFail(why));
-        pending.clear();
+        List.copyOf(pending.values()).forEach(c -> c.done.tryFail(why));
         reads.values().forEach(r -> r.tryComplete(false));
         reads.clear();
         net.close();
@@ -313,9 +311,9 @@
         Command.Signed s = DutyCodec.decode(e.command());
         DutyState.Result result = duties.applied(now(), e.index(), s);
         if (s.by().equals(config.name())) {
-            Pending p = pending.remove(s.id());
-            if (p != null) {
-                p.done().tryComplete(result);
+            Call c = pending.get(s.id());
+            if (c != null) {
+                c.applied(result);
             }
         }
     }
@@ -393,36 +391,68 @@
 
     // ---- What the director and its operators ask ----
 
+    /** A command of this member's until it is agreed, or its caller has waited long enough. */
+    private final class Call {
+        final Promise<DutyState.Result> done = Promise.promise();
+        private final Supplier<Command> command;
+        private final long end;
+        private long id, again = -1;
+        private byte[] bytes;
+
+        Call(Supplier<Command> command) {
+            this.command = command;
+            this.end = timers.set(AGREE_MS, () -> done.tryFail(noMajority()));
+            done.future().onComplete(r -> forget());
+        }
+
+        void say() {
+            Command.Signed s = duties.sign(command.get());
+            id = s.id();
+            bytes = DutyCodec.encode(s);
+            pending.put(id, this);
+            offerAgain();
+        }
+
+        private void offerAgain() {
+            if (raft != null && pending.containsKey(id)) {
+                offer(bytes, id);
+                again = timers.set(CALL_AGAIN_MS, this::offerAgain);
+                pump();
+            }
+        }
+
+        void applied(DutyState.Result r) {
+            if (!r.late()) {
+                done.tryComplete(r);
+                return;
+            }
+            // What was agreed first is known here now: said again, it comes after that.
+            pending.remove(id);
+            timers.cancel(again);
+            say();
+        }
+
+        private void forget() {
+            pending.remove(id);
+            timers.cancel(end);
+            timers.cancel(again);
+        }
+    }
+
     /**
-     * Has a command agreed. Fails, with the reason, when that is not known within 1.5 s: it may still be agreed later, and
-     * asking again does no harm.
+     * Has a command agreed; it is made anew where another word on the same cache was agreed first. Fails, with the reason,
+     * when that is not known within 1.3 s: it may still be agreed later, and asking again does no harm.
      */
-    public Future<DutyState.Result> agree(Command command) {
+    public Future<DutyState.Result> agree(Supplier<Command> command) {
         if (raft == null) {
             return Future.failedFuture("the folder of this member can't be used: see the log");
         }
         if (pending.size() >= PENDING_MOST) {
             return Future.failedFuture("too many calls wait");
         }
-        Command.Signed s = duties.sign(command);
-        Pending p = new Pending(s, DutyCodec.encode(s), Promise.promise());
-        pending.put(s.id(), p);
-        long end = timers.set(AGREE_MS, () -> p.done().tryFail(noMajority()));
-        long[] again = {-1};
-        Runnable[] call = new Runnable[1];
-        call[0] = () -> {
-            if (raft != null && pending.containsKey(s.id())) {
-                offer(p.bytes(), s.id());
-                again[0] = timers.set(CALL_AGAIN_MS, call[0]);
-                pump();
-            }
-        };
-        call[0].run();
-        return p.done().future().onComplete(r -> {
-            pending.remove(s.id());
-            timers.cancel(end);
-            timers.cancel(again[0]);
-        });
+        Call c = new Call(command);
+        c.say();
+        return c.done.future();
     }
 
     /** Whether the warden lets the cache out within what a caller waits. Never fails. */
@@ -515,7 +545,7 @@
         if (!to.isEmpty() && (raft == null || !raft.members().all().containsKey(to))) {
             return Future.succeededFuture(new DutyState.Result("'" + to + "' is no member"));
         }
-        return agree(new Command.Prefer(duty, d.token(), to));
+        return agree(() -> new Command.Prefer(duty, d.token(), to));
     }
 
     /** By an operator at the leader: leadership goes to {@code to}, or, if that is empty, to whoever lacks least. Null, or why not. */
@@ -553,6 +583,36 @@
         };
     }
 
+    /** For operators, by name. While its folder can't be used only {@code cluster.open}, 0, is known. */
+    public Map<String, Long> figures() {
+        Map<String, Long> f = new LinkedHashMap<>();
+        f.put("cluster.open", raft == null ? 0L : 1);
+        f.put("cluster.disk_failures", diskFailures);
+        if (raft == null) {
+            return f;
+        }
+        long now = now();
+        boolean leads = raft.role() == Raft.Role.LEADER;
+        f.put("cluster.leads", leads ? 1L : 0);
+        f.put("cluster.leader_known", raft.leader() == null ? 0L : 1);
+        f.put("cluster.term", raft.term());
+        f.put("cluster.commit", raft.commit());
+        f.put("cluster.applied", applied);
+        f.put("cluster.members", (long) raft.members().all().size());
+        if (leads) {
+            f.put("cluster.members_heard", (long) raft.heard(now).size());
+        }
+        f.put("cluster.calls_waiting", (long) pending.size());
+        f.put("cluster.dropped_frames", net.dropped());
+        f.put("duty.held", config.duties().names().stream().filter(d -> duties.token(d, now) > 0).count());
+        f.put("duty.acts", duties.acts());
+        f.put("duty.part_thousandths", duties.part(now));
+        f.put("duty.lent_thousandths", state().lent());
+        f.put("duty.out", (long) state().out().size());
+        f.put("duty.waiting", state().tickets().values().stream().filter(t -> !t.let()).count());
+        return f;
+    }
+
     /** For operators: {@code confirmed}, whether a majority has just said that nothing newer is agreed. */
     public JsonObject status(boolean confirmed) {
         JsonObject json = new JsonObject().put("cluster", config.cluster()).put("name", config.name());
--- a/src/main/java/pewtercourse/duty/Command.java
+++ b/src/main/java/pewtercourse/duty/Command.java
@@ -20,13 +20,16 @@
     /** By the leader: it has not heard this member for long, or hears it again. */
     record Absent(String member, boolean absent) implements Command { }
 
-    /** An operator's word: this cache is out, since Unix milliseconds. */
-    record Out(String target, long atMs) implements Command { }
+    /**
+     * An operator's word: this cache is out, since Unix milliseconds. {@code after}: the entry of the last word on this
+     * cache that its asker knows, 0 for none; the state refuses it once there is a later one.
+     */
+    record Out(String target, long atMs, long after) implements Command { }
 
-    record Back(String target, long atMs) implements Command { }
+    record Back(String target, long atMs, long after) implements Command { }
 
     /** A cache is to be out once the warden lets it. */
-    record Ask(String target, String zone, long atMs) implements Command { }
+    record Ask(String target, String zone, long atMs, long after) implements Command { }
 
     /** By the warden: the cache with this ticket is out from now on. */
     record Let(String target, long ticket, long token, long atMs) implements Command { }
--- a/src/main/java/pewtercourse/duty/DutyCodec.java
+++ b/src/main/java/pewtercourse/duty/DutyCodec.java
@@ -22,11 +22,12 @@
         } else if (c instanceof Command.Absent a) {
             b.setAbsent(DutyWire.Absent.newBuilder().setMember(a.member()).setAbsent(a.absent()));
         } else if (c instanceof Command.Out o) {
-            b.setOut(DutyWire.Out.newBuilder().setTarget(o.target()).setAtMs(o.atMs()));
+            b.setOut(DutyWire.Out.newBuilder().setTarget(o.target()).setAtMs(o.atMs()).setAfter(o.after()));
         } else if (c instanceof Command.Back o) {
-            b.setBack(DutyWire.Back.newBuilder().setTarget(o.target()).setAtMs(o.atMs()));
+            b.setBack(DutyWire.Back.newBuilder().setTarget(o.target()).setAtMs(o.atMs()).setAfter(o.after()));
         } else if (c instanceof Command.Ask a) {
-            b.setAsk(DutyWire.Ask.newBuilder().setTarget(a.target()).setZone(a.zone()).setAtMs(a.atMs()));
+            b.setAsk(DutyWire.Ask.newBuilder().setTarget(a.target()).setZone(a.zone()).setAtMs(a.atMs())
+                    .setAfter(a.after()));
         } else if (c instanceof Command.Let l) {
             b.setLet(DutyWire.Let.newBuilder().setTarget(l.target()).setTicket(l.ticket()).setToken(l.token())
                     .setAtMs(l.atMs()));
@@ -59,9 +60,10 @@
             case PREFER -> new Command.Prefer(c.getPrefer().getDuty(), c.getPrefer().getToken(),
                     c.getPrefer().getTo());
             case ABSENT -> new Command.Absent(c.getAbsent().getMember(), c.getAbsent().getAbsent());
-            case OUT -> new Command.Out(c.getOut().getTarget(), c.getOut().getAtMs());
-            case BACK -> new Command.Back(c.getBack().getTarget(), c.getBack().getAtMs());
-            case ASK -> new Command.Ask(c.getAsk().getTarget(), c.getAsk().getZone(), c.getAsk().getAtMs());
+            case OUT -> new Command.Out(c.getOut().getTarget(), c.getOut().getAtMs(), c.getOut().getAfter());
+            case BACK -> new Command.Back(c.getBack().getTarget(), c.getBack().getAtMs(), c.getBack().getAfter());
+            case ASK -> new Command.Ask(c.getAsk().getTarget(), c.getAsk().getZone(), c.getAsk().getAtMs(),
+                    c.getAsk().getAfter());
             case LET -> new Command.Let(c.getLet().getTarget(), c.getLet().getTicket(), c.getLet().getToken(),
                     c.getLet().getAtMs());
             case WITHDRAW -> new Command.Withdraw(c.getWithdraw().getTarget(), c.getWithdraw().getTicket(),
--- a/src/main/java/pewtercourse/duty/DutyState.java
+++ b/src/main/java/pewtercourse/duty/DutyState.java
@@ -7,6 +7,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import pewtercourse.duty.wire.DutyWire;
 
 /**
@@ -18,7 +19,7 @@
     public static final String WARDEN = "warden", DIVIDER = "divider";
 
     // Bounds on what operators and members can make it keep.
-    private static final int OUT_MOST = 1_024, TICKETS_MOST = 1_024, WISHES_MOST = 64, LOANS_MOST = 256;
+    private static final int OUT_MOST = 1_024, TICKETS_MOST = 1_024, WISHES_MOST = 64, LOANS_MOST = 256, WORDS_MOST = 4_096;
 
     /**
      * {@code holder} empty: nobody's. {@code renewals} 0: assigned, and not taken up yet. {@code moves}: the holder is to
@@ -40,9 +41,17 @@
 
     public record Loan(String to, long ask, long thousandths) { }
 
-    /** What became of a command. {@code why} null: it was done, or had been done before. */
-    public record Result(String why) {
+    /**
+     * What became of a command. {@code why} null: it was done, or had been done before. {@code late}: a later word on the
+     * same cache was agreed first, and it changed nothing; said anew, it counts.
+     */
+    public record Result(String why, boolean late) {
         static final Result DONE = new Result(null);
+        static final Result LATE = new Result("another word on this cache was agreed first: call again", true);
+
+        public Result(String why) {
+            this(why, false);
+        }
 
         public boolean done() {
             return why == null;
@@ -52,6 +61,7 @@
     private final TreeMap<String, Duty> duties = new TreeMap<>();
     private final TreeMap<String, Long> out = new TreeMap<>(), back = new TreeMap<>();
     private final TreeMap<Long, Ticket> tickets = new TreeMap<>();
+    private final TreeMap<String, Long> lastWords = new TreeMap<>(); // By cache: the entry of the last word on it.
     private final TreeMap<String, Wish> wishes = new TreeMap<>();
     private final TreeMap<Long, Loan> loans = new TreeMap<>();
     private final TreeSet<String> unwilling = new TreeSet<>(), absent = new TreeSet<>();
@@ -67,12 +77,14 @@
         } else if (c instanceof Command.HandOn h) {
             return handOn(s.by(), h);
         } else if (c instanceof Command.Out o) {
-            return goOut(o.target(), o.atMs());
+            return word(index, o.target(), o.after(), () -> goOut(o.target(), o.atMs()));
         } else if (c instanceof Command.Back b) {
-            tickets.values().removeIf(t -> t.target().equals(b.target()));
-            return comeBack(b.target(), b.atMs());
+            return word(index, b.target(), b.after(), () -> {
+                tickets.values().removeIf(t -> t.target().equals(b.target()));
+                return comeBack(b.target(), b.atMs());
+            });
         } else if (c instanceof Command.Ask a) {
-            return ask(index, s.by(), a);
+            return word(index, a.target(), a.after(), () -> ask(index, s.by(), a));
         } else if (c instanceof Command.Let l) {
             return let(l);
         } else if (c instanceof Command.Withdraw w) {
@@ -143,6 +155,22 @@
 
     // ---- What operators said ----
 
+    // The words on one cache count in one order. One that was said before the last one was known is void: it is a copy
+    // that was sent again, or comes late, and would undo what somebody has been told since.
+    private Result word(long index, String target, long after, Supplier<Result> what) {
+        if (lastWord(target) != after) {
+            return Result.LATE;
+        }
+        Result r = what.get();
+        if (r.done()) {
+            lastWords.put(target, index);
+            if (lastWords.size() > WORDS_MOST) {
+                lastWords.remove(Collections.min(lastWords.entrySet(), Map.Entry.comparingByValue()).getKey());
+            }
+        }
+        return r;
+    }
+
     private Result goOut(String target, long atMs) {
         if (out.containsKey(target)) {
             return Result.DONE;
@@ -254,6 +282,11 @@
         return Collections.unmodifiableMap(out);
     }
 
+    /** The entry of the last word on a cache, 0 where none is known any more. */
+    public long lastWord(String target) {
+        return lastWords.getOrDefault(target, 0L);
+    }
+
     /** Changes of {@link #out} and {@link #back} since this state was made or read. */
     public long words() {
         return words;
@@ -304,6 +337,7 @@
                 .setToken(d.token()).setRenewals(d.renewals()).setMoves(d.moves()).setPreferred(d.preferred())));
         out.forEach((name, at) -> b.addOut(DutyWire.Named.newBuilder().setName(name).setAtMs(at)));
         back.forEach((name, at) -> b.addBack(DutyWire.Named.newBuilder().setName(name).setAtMs(at)));
+        lastWords.forEach((name, entry) -> b.addWord(DutyWire.Word.newBuilder().setTarget(name).setEntry(entry)));
         tickets.values().forEach(t -> b.addTicket(DutyWire.Ticket.newBuilder().setNumber(t.number())
                 .setTarget(t.target()).setZone(t.zone()).setBy(t.by()).setLet(t.let())));
         wishes.forEach((by, w) -> b.addWish(DutyWire.Wish.newBuilder().setBy(by).setAsk(w.ask())
@@ -324,6 +358,7 @@
                 x.getMoves(), x.getPreferred())));
         s.getOutList().forEach(x -> d.out.put(x.getName(), x.getAtMs()));
         s.getBackList().forEach(x -> d.back.put(x.getName(), x.getAtMs()));
+        s.getWordList().forEach(x -> d.lastWords.put(x.getTarget(), x.getEntry()));
         s.getTicketList().forEach(t -> d.tickets.put(t.getNumber(),
                 new Ticket(t.getNumber(), t.getTarget(), t.getZone(), t.getBy(), t.getLet())));
         s.getWishList().forEach(w -> d.wishes.put(w.getBy(), new Wish(w.getAsk(), w.getThousandths())));
--- a/src/main/java/pewtercourse/experiment/ClusterSim.java
+++ b/src/main/java/pewtercourse/experiment/ClusterSim.java
@@ -34,7 +34,7 @@
  */
 final class ClusterSim {
     /** Faults of the program itself, to see that the checks find them. */
-    enum Planted { NONE, SAID_BEFORE_SAVED, LEASE_FROM_ANSWER, TOKEN_UNCHECKED, NO_PRE_VOTE, LOAN_FROM_ANSWER }
+    enum Planted { NONE, SAID_BEFORE_SAVED, LEASE_FROM_ANSWER, TOKEN_UNCHECKED, NO_PRE_VOTE, LOAN_FROM_ANSWER, WORD_UNCHECKED }
 
     static final long MS = 1_000, SECOND = 1_000_000;
     static final int CACHES = 12;
@@ -178,7 +178,11 @@
                         Command.Signed s = DutyCodec.decode(e.command());
                         long held = duties.state().duty(DutyState.WARDEN).token();
                         DutyState.Result result = duties.applied(clock(), e.index(),
-                                planted == Planted.TOKEN_UNCHECKED ? forged(s) : s);
+                                planted == Planted.TOKEN_UNCHECKED || planted == Planted.WORD_UNCHECKED ? forged(s) : s);
+                        if (before == null && result.done() && (s.command() instanceof Command.Ask
+                                || s.command() instanceof Command.Back)) {
+                            check(counted.add(s.by() + ' ' + s.id()), "an operator's word counted twice");
+                        }
                         check(!(s.command() instanceof Command.Let l) || l.token() == held || !result.done(),
                                 "an order with an older token took effect");
                         changed = true;
@@ -198,10 +202,19 @@
             return changed;
         }
 
-        // As if the receiver did not look at the token.
+        // As if the receiver did not look at the token, or at the words since.
         private Command.Signed forged(Command.Signed s) {
-            return s.command() instanceof Command.Let l ? new Command.Signed(s.by(), s.id(),
-                    new Command.Let(l.target(), l.ticket(), duties.state().duty(DutyState.WARDEN).token(), l.atMs())) : s;
+            DutyState state = duties.state();
+            Command c = s.command();
+            if (planted == Planted.TOKEN_UNCHECKED) {
+                c = c instanceof Command.Let l ? new Command.Let(l.target(), l.ticket(), state.duty(DutyState.WARDEN).token(),
+                        l.atMs()) : c;
+            } else if (c instanceof Command.Back b) {
+                c = new Command.Back(b.target(), b.atMs(), state.lastWord(b.target()));
+            } else if (c instanceof Command.Ask a) {
+                c = new Command.Ask(a.target(), a.zone(), a.atMs(), state.lastWord(a.target()));
+            }
+            return new Command.Signed(s.by(), s.id(), c);
         }
 
         void offer(Command.Signed s) {
@@ -267,6 +280,7 @@
     private final Map<Long, String> leaders = new HashMap<>(); // By term.
     private final Set<Long> cut = new HashSet<>(); // Links, as from * 100 + to.
     private final Map<String, Long> greatestToken = new HashMap<>();
+    private final Set<String> counted = new HashSet<>(); // Operators' words that took effect.
     double lossy;
     long now, order, acts, highestTerm, lentMost;
     String trouble;
--- a/src/main/java/pewtercourse/experiment/Experiments.java
+++ b/src/main/java/pewtercourse/experiment/Experiments.java
@@ -2,11 +2,20 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 
 /** Entry of the experiments; their libraries are in the jar of tools alone. */
 public final class Experiments {
     private Experiments() { }
 
+    /** {@code start}: time to be ready and memory of programs, by name, with and without a cluster. */
+    public static void start(Path into, Map<String, Path> jars, int rounds, Path config) throws Exception {
+        Files.createDirectories(into);
+        String table = StartExperiment.run(jars, rounds, config);
+        Files.writeString(into.resolve("start.md"), table);
+        System.out.print(table);
+    }
+
     /** {@code duties}: how duties change hands, what the log does, how budgets are used; files go into {@code into}. */
     public static void duties(Path into, int seeds) throws Exception {
         DutiesExperiment.run(into, seeds);
--- a/src/main/java/pewtercourse/experiment/LogExperiment.java
+++ b/src/main/java/pewtercourse/experiment/LogExperiment.java
@@ -115,7 +115,9 @@
             return;
         }
         boolean out = (done.get() & 1) == 0;
-        c.agree(out ? new Command.Out("c" + caller, 1) : new Command.Back("c" + caller, 1)).onComplete(r -> {
+        String target = "c" + caller;
+        c.agree(() -> out ? new Command.Out(target, 1, c.state().lastWord(target))
+                : new Command.Back(target, 1, c.state().lastWord(target))).onComplete(r -> {
             long now = System.nanoTime();
             if (r.succeeded() && from >= begin && now < end) {
                 times.recordValue((now - from) / 1_000);
@@ -137,7 +139,7 @@
                     List<Entry> list = new ArrayList<>();
                     for (int j = 1; j <= 100; j++) {
                         list.add(Entry.command(i + j, 1, DutyCodec.encode(new Command.Signed("d1", i + j,
-                                new Command.Out("s-" + j, 1_700_000_000_000L)))));
+                                new Command.Out("s-" + j, 1_700_000_000_000L, 0)))));
                     }
                     s.save(List.of(new Save(i, 1, "m", i, null, list)));
                 }
--- a/src/test/java/pewtercourse/cluster/ClusterFaultTest.java
+++ b/src/test/java/pewtercourse/cluster/ClusterFaultTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pewtercourse.cluster.Fleet.until;
 
@@ -60,11 +61,18 @@
     static void checkActs(Collection<String> log) {
         List<String> lines = new ArrayList<>(log);
         var holders = new java.util.TreeMap<Long, String>();
+        var last = new java.util.HashMap<String, Long>(); // By member and duty: the token that it told last.
         for (String l : lines) {
             Matcher m = ASSIGNED.matcher(l);
-            if (m.find()) {
-                String other = holders.putIfAbsent(Long.valueOf(m.group(4)), m.group(3));
+            if (l.contains(" INFO cluster.opened ")) {
+                String member = l.substring(0, l.indexOf(' ') + 1);
+                last.keySet().removeIf(k -> k.startsWith(member)); // It may learn again what it knew.
+            } else if (m.find()) {
+                Long token = Long.valueOf(m.group(4));
+                String other = holders.putIfAbsent(token, m.group(3));
                 assertTrue(other == null || other.equals(m.group(3)), "two hold one token: " + l);
+                Long before = last.put(m.group(1) + ' ' + m.group(2), token);
+                assertTrue(before == null || before < token, "a token that does not grow: " + l);
             }
         }
         long[] greatest = {0};
@@ -97,6 +105,9 @@
         everywhereOut(fleet.members, 1);
         assertEquals(0, fleet.run("cluster", "status", "--admin", Fleet.HOST + ":" + fleet.members.get(0).admin));
         assertTrue(fleet.logged("line out " + OTHER));
+        String figures = fleet.members.get(1).call("GET /status/metrics", "");
+        assertTrue(figures.contains("\nout_of_rotation=1\n") && figures.contains("\ncluster.open=1\n")
+                && figures.contains("\nduty.out=1\n") && figures.contains("\ncluster.members=3\n"), figures);
     }
 
     @Test
@@ -198,6 +209,120 @@
         until("back", () -> fleet.but(leader).get(0).exit(CACHE));
     }
 
+    @Test
+    void aMemberBackWithAnOldFolderIsNoticedAndCountsNoMore() throws Exception {
+        Fleet.Member leader, old;
+        long term;
+        do { // Only the leader to whom it had said more notices.
+            leader = fleet.awaitLeader(fleet.members);
+            term = leader.status().getLong("term");
+            Fleet.Member of = fleet.but(leader).get(0);
+            old = of;
+            of.kill();
+            Path copy = folder.resolve("copy-" + term);
+            copy(of.data, copy);
+            of.start();
+            Fleet.Member third = fleet.but(leader, of).get(0);
+            until("said while it listens", () -> third.exit(CACHE) && third.enter(CACHE) && of.out(CACHE));
+            of.kill();
+            delete(of.data);
+            copy(copy, of.data);
+            of.start();
+            long led = term;
+            Fleet.Member by = leader;
+            until("noticed, unless another leads by now", () -> fleet.logged("cluster.member_regressed name=" + of.name)
+                    || by.status() != null && by.status().getLong("term") != led);
+        } while (!fleet.logged("cluster.member_regressed name=" + old.name));
+        Fleet.Member third = fleet.but(leader, old).get(0), back = old;
+        third.kill();
+        assertFalse(leader.exit(CACHE), "what has forgotten makes no majority");
+        third.start();
+        until("the others agree without it", () -> third.enter(CACHE));
+        back.kill();
+        delete(back.data);
+        back.start();
+        until("emptied, it learns anew and votes", () -> back.out(CACHE) && fleet.among(fleet.members, back, true));
+    }
+
+    private static void copy(Path from, Path to) throws Exception {
+        Files.createDirectories(to);
+        try (Stream<Path> files = Files.list(from)) {
+            for (Path p : files.toList()) {
+                Files.copy(p, to.resolve(p.getFileName()));
+            }
+        }
+    }
+
+    @Test
+    void twoMembersAreSwappedForNewOnesDuringARollingRestart() throws Exception {
+        Fleet.Member a = fleet.members.get(0), b = fleet.members.get(1), c = fleet.members.get(2);
+        List<Fleet.Member> fresh = fleet.grow(2);
+        Fleet.Member d = fresh.get(0), e = fresh.get(1);
+        until("out", () -> a.enter(CACHE));
+        try (Words words = new Words(fleet, 5, OTHER)) { // It waits in line all the while, or is withdrawn.
+            d.start();
+            e.start();
+            stop(a);
+            swapIn(d, List.of(b, c));
+            fleet.write(a, List.of(a, d, e));
+            a.start();
+            swapOut(b, List.of(a, b, c, d));
+            stop(b);
+            stop(c);
+            swapIn(e, List.of(a, d));
+            fleet.write(c, List.of(c, d, e));
+            c.start();
+            swapOut(c, List.of(a, c, d, e));
+            stop(c);
+            fleet.write(d, List.of(a, d, e));
+            stop(d);
+            d.start();
+        }
+        List<Fleet.Member> now = List.of(a, d, e);
+        fleet.awaitLeader(now);
+        until("they know of themselves alone", () -> now.stream().allMatch(m -> {
+            JsonObject s = m.status();
+            return s != null && s.getJsonArray("members").stream().map(o -> ((JsonObject) o)).allMatch(o ->
+                    o.getBoolean("voter") && now.stream().anyMatch(x -> x.name.equals(o.getString("name"))))
+                    && s.getJsonArray("members").size() == 3;
+        }));
+        until("what was said is kept", () -> now.stream().allMatch(m -> m.out(CACHE)));
+        fleet.awaitHolder("warden", now);
+        Fleet.Member leader = fleet.awaitLeader(now);
+        leader.kill();
+        until("the new ones bear a loss", () -> now.stream().anyMatch(m -> m != leader && m.exit(CACHE)));
+    }
+
+    private static void stop(Fleet.Member m) throws Exception {
+        until("it is up", () -> m.status() != null); // Before that a signal ends the program at once.
+        m.signal("TERM");
+        assertEquals(0, m.process.waitFor());
+    }
+
+    private void swapIn(Fleet.Member m, List<Fleet.Member> by) throws Exception {
+        until(m.name + " votes", () -> {
+            if (!fleet.among(by, m, false)) {
+                fleet.change(by, "/cluster/add", new JsonObject().put("name", m.name).put("address",
+                        Fleet.HOST + ":" + m.port));
+            }
+            return fleet.among(by, m, true);
+        });
+    }
+
+    private void swapOut(Fleet.Member m, List<Fleet.Member> by) throws Exception {
+        until(m.name + " is a member no more", () -> {
+            JsonObject s = fleet.confirmed(by);
+            if (s == null) {
+                return false;
+            }
+            if (s.getJsonArray("members").stream().noneMatch(o -> ((JsonObject) o).getString("name").equals(m.name))) {
+                return true;
+            }
+            fleet.change(by, "/cluster/remove", new JsonObject().put("name", m.name));
+            return false;
+        });
+    }
+
     @Test
     void aPlannedStopHandsOnFirst() throws Exception {
         Fleet.Member warden = fleet.awaitHolder("warden", fleet.members);
@@ -295,10 +420,32 @@
         m.start();
         assertEquals(2, m.process.waitFor());
         Files.delete(m.data);
+        Path usable = m.data;
+        m.data = Path.of("/proc/pewtercourse"); // Nobody can write there, whoever runs this.
+        fleet.write(m, fleet.members);
+        m.start();
+        assertEquals(2, m.process.waitFor());
+        until("told", () -> fleet.log.stream().anyMatch(l -> l.contains("cluster.unusable") && l.contains("/proc/pewtercourse")));
+        m.data = usable;
+        fleet.write(m, fleet.members);
         m.start();
         until("as a newcomer it comes back", () -> m.status() != null && m.status().getString("leader") != null);
     }
 
+    @Test
+    void theCheckOfActsFindsWhatItIsFor() {
+        String first = "d0 10 INFO duty.assigned duty=warden holder=d0 token=1",
+                second = "d1 20 INFO duty.assigned duty=warden holder=d1 token=2",
+                act = " INFO duty.act order=Let[target=s-1, ticket=5, token=";
+        checkActs(List.of(first, second, "d0 15" + act + "1]", "d1 25" + act + "2]"));
+        for (List<String> wrong : List.of(List.of(first, "d1 20 INFO duty.assigned duty=warden holder=d1 token=1"),
+                List.of(second, "d1 30 INFO duty.assigned duty=warden holder=d0 token=1"),
+                List.of(first, second, "d1 25" + act + "2]", "d0 26" + act + "1]"),
+                List.of(first, second, "d0 26" + act + "2]"))) {
+            assertThrows(AssertionError.class, () -> checkActs(wrong), wrong.toString());
+        }
+    }
+
     private static void delete(Path folder) throws Exception {
         try (Stream<Path> all = Files.walk(folder)) {
             for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
--- a/src/test/java/pewtercourse/cluster/Fleet.java
+++ b/src/test/java/pewtercourse/cluster/Fleet.java
@@ -18,6 +18,7 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -40,7 +41,7 @@
     final List<Member> members = new ArrayList<>();
     final Queue<String> log = new ConcurrentLinkedQueue<>(); // Several readers add while a test looks.
     private final Vertx vertx = Vertx.vertx();
-    private final Relay[][] links;
+    private final Map<String, Relay> links = new ConcurrentHashMap<>();
     private final JsonObject settings;
 
     final class Member {
@@ -152,24 +153,42 @@
         for (int i = 0; i < size; i++) {
             members.add(new Member(i));
         }
-        links = new Relay[size][size];
-        for (int i = 0; i < size; i++) {
-            for (int j = 0; j < size; j++) {
-                if (i != j) {
-                    links[i][j] = new Relay(vertx, members.get(j).port);
+        link();
+        for (Member m : members) {
+            write(m, members);
+        }
+    }
+
+    private void link() throws Exception {
+        for (Member a : members) {
+            for (Member b : members) {
+                if (a != b && !links.containsKey(a.name + ">" + b.name)) {
+                    links.put(a.name + ">" + b.name, new Relay(vertx, b.port));
                 }
             }
         }
-        for (Member m : members) {
-            write(m);
+    }
+
+    /** So many newcomers, not started, whose files name all members. The files of the others stay as they are. */
+    List<Member> grow(int count) throws Exception {
+        List<Member> fresh = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            fresh.add(new Member(members.size() + i));
+        }
+        members.addAll(fresh);
+        link();
+        for (Member m : fresh) {
+            write(m, members);
         }
+        return fresh;
     }
 
-    private void write(Member m) throws IOException {
+    /** A member's files, with these as the members. */
+    void write(Member m, List<Member> listed) throws IOException {
         JsonArray all = new JsonArray();
-        for (Member o : members) {
+        for (Member o : listed) {
             all.add(new JsonObject().put("name", o.name).put("address",
-                    HOST + ":" + (o == m ? o.port : links[m.number][o.number].port())));
+                    HOST + ":" + (o == m ? o.port : link(m, o).port())));
         }
         m.config = Files.writeString(folder.resolve("cluster-" + m.name + ".json"), settings.copy()
                 .put("cluster", "test").put("name", m.name).put("listen", HOST + ":" + m.port)
@@ -210,27 +229,21 @@
     }
 
     Relay link(Member from, Member to) {
-        return links[from.number][to.number];
+        return links.get(from.name + ">" + to.name);
     }
 
     /** {@code hears}, {@code heard}: whether what the others say still comes in, and what it says still goes out. */
     void cutOff(Member m, boolean hears, boolean heard) {
         for (Member o : members) {
             if (o != m) {
-                links[m.number][o.number].cut(!heard, !hears);
-                links[o.number][m.number].cut(!hears, !heard);
+                link(m, o).cut(!heard, !hears);
+                link(o, m).cut(!hears, !heard);
             }
         }
     }
 
     void mend() {
-        for (Relay[] row : links) {
-            for (Relay r : row) {
-                if (r != null) {
-                    r.mend();
-                }
-            }
-        }
+        links.values().forEach(Relay::mend);
     }
 
     static void until(String what, Supplier<Boolean> holds) throws InterruptedException {
@@ -241,6 +254,34 @@
         }
     }
 
+    /** What a leader knows whom a majority has just confirmed; null if nobody is one, or it is not known in time. */
+    JsonObject confirmed(List<Member> among) {
+        for (Member m : among) {
+            JsonObject s = m.process != null && m.process.isAlive() ? m.status() : null;
+            if (s != null && s.getBoolean("open") && s.getBoolean("confirmed")) {
+                return s;
+            }
+        }
+        return null;
+    }
+
+    /** Asks whoever leads; false if nobody does or it says no. */
+    boolean change(List<Member> among, String path, JsonObject body) {
+        Member l = leader(among);
+        try {
+            return l != null && l.call("POST " + path, body.encode()).startsWith("HTTP/1.1 200");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Whether the leader has it as a member that votes, or learns. */
+    boolean among(List<Member> leaders, Member m, boolean voter) {
+        JsonObject s = confirmed(leaders);
+        return s != null && s.getJsonArray("members").stream().map(o -> (JsonObject) o)
+                .anyMatch(o -> o.getString("name").equals(m.name) && (o.getBoolean("voter") || !voter));
+    }
+
     /** A member that leads, and that a majority has just confirmed; null if none does. */
     Member leader(List<Member> among) {
         for (Member m : among) {
--- a/src/test/java/pewtercourse/experiment/ClusterSimTest.java
+++ b/src/test/java/pewtercourse/experiment/ClusterSimTest.java
@@ -81,8 +81,9 @@
         long unix = sim.now / MS;
         int kind = sim.random.nextInt(3);
         Command.Signed s = kind == 0 ? n.duties.borrow(n.clock(), 200 + sim.random.nextInt(2_000))
-                : n.duties.sign(kind == 1 ? new Command.Ask(target, "z" + Math.floorMod(target.hashCode(), 2), unix)
-                : new Command.Back(target, unix));
+                : n.duties.sign(kind == 1 ? new Command.Ask(target, "z" + Math.floorMod(target.hashCode(), 2), unix,
+                        n.duties.state().lastWord(target))
+                : new Command.Back(target, unix, n.duties.state().lastWord(target)));
         if (s != null) {
             n.offer(s);
             n.pump();
@@ -107,7 +108,7 @@
 
     @ParameterizedTest
     @EnumSource(value = ClusterSim.Planted.class, names = {"SAID_BEFORE_SAVED", "LEASE_FROM_ANSWER", "TOKEN_UNCHECKED",
-        "LOAN_FROM_ANSWER"})
+        "LOAN_FROM_ANSWER", "WORD_UNCHECKED"})
     void aPlantedFaultIsFound(ClusterSim.Planted planted) {
         assertTrue(LongStream.range(0, SEEDS_PLANTED).parallel().anyMatch(seed -> play(seed, planted).trouble != null),
                 "not found: " + planted);
