--- a/src/main/java/pewtercourse/Agreement.java
+++ b/src/main/java/pewtercourse/Agreement.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 import pewtercourse.admin.ClusterCalls;
 import pewtercourse.admin.Operations.Verdict;
@@ -14,6 +15,9 @@
 import pewtercourse.duty.Command;
 import pewtercourse.duty.DutyState;
 import pewtercourse.handover.OperatorState;
+import pewtercourse.site.Book;
+import pewtercourse.site.Sight;
+import pewtercourse.site.Sites;
 
 /** A director and its cluster: what operators tell the one is agreed by the other, and comes back to count. */
 final class Agreement implements ClusterCalls, ClusterHost {
@@ -24,6 +28,9 @@
     Agreement(Vertx vertx, ClusterConfig config, Director director) {
         this.director = director;
         this.cluster = new Cluster(vertx, config, this);
+        if (config.sites() != null) {
+            director.sites(config.sites());
+        }
     }
 
     Future<Void> start() {
@@ -126,8 +133,46 @@
         return cluster.remove(name);
     }
 
+    // ---- Sites ----
+
+    /** A new file of sites, already checked. */
+    void sites(Sites to) {
+        director.sites(to);
+        cluster.sites(to);
+    }
+
+    @Override
+    public JsonObject sites() {
+        return cluster.sitesStatus();
+    }
+
+    @Override
+    public Future<String> site(String call, String name) {
+        if (!cluster.knowsSite(name)) {
+            return Future.succeededFuture("'" + name + "' is no site of the file");
+        }
+        return cluster.agree(() -> {
+            long after = cluster.state().book().status(name).entry();
+            return switch (call) {
+                case "drill" -> new Command.Drill(name, after);
+                case "hold" -> new Command.HoldSite(name, true, after);
+                default -> new Command.HoldSite(name, false, after);
+            };
+        }).map(DutyState.Result::why).onSuccess(why -> Log.info("operator.site", "call", call, "site", name, "why", why));
+    }
+
     // ---- What the cluster asks ----
 
+    @Override
+    public Map<String, Sight> sights() {
+        return director.sights();
+    }
+
+    @Override
+    public void sites(Book book, Set<String> absent) {
+        director.follow(book, absent);
+    }
+
     @Override
     public void agreed(Map<String, Long> out, Map<String, Long> back) {
         director.follow(new OperatorState(ProcessHandle.current().pid(), false, out, back));
--- a/src/main/java/pewtercourse/CommandLine.java
+++ b/src/main/java/pewtercourse/CommandLine.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Callable;
 import pewtercourse.config.ClusterConfig;
 import pewtercourse.config.ConfigException;
+import pewtercourse.emulator.Scenario;
 import pewtercourse.experiment.Experiments;
 import pewtercourse.raft.Membership;
 import pewtercourse.raft.Saved;
@@ -26,7 +27,7 @@
  * The operators' command line. Exit codes: 0 done, 1 a no for a reason that is told, 2 the call can't be used, 3 nobody
  * answers or a majority is missing.
  */
-@Command(name = "pewtercourse", description = "A director of caches.", subcommands = {CommandLine.Cluster.class,
+@Command(name = "pewtercourse", description = "A director of caches.", subcommands = {CommandLine.Cluster.class, CommandLine.Sites.class, CommandLine.Emulate.class,
         CommandLine.Experiment.class},
         mixinStandardHelpOptions = true, footer = {"", "Besides: serve, benchlink and rehearse CONFIG."})
 final class CommandLine {
@@ -83,6 +84,21 @@
         }
     }
 
+    @Command(name = "emulate", description = "Plays a scenario: sites of caches, their feed and clients, for directors that you"
+            + " start. Exit code 1 if a rule was broken.", mixinStandardHelpOptions = true)
+    static final class Emulate implements Callable<Integer> {
+        @Parameters(paramLabel = "SCENARIO")
+        Path scenario;
+        @Option(names = "--into", paramLabel = "FOLDER", defaultValue = "target/emulated",
+                description = "where the directors' configurations go")
+        Path into;
+
+        @Override
+        public Integer call() throws Exception {
+            return Scenario.fromFile(scenario).play(into, System.out) ? DONE : NO;
+        }
+    }
+
     @Command(name = "experiment", description = "Measures on this machine; tables, files of columns and charts.",
             mixinStandardHelpOptions = true)
     static final class Experiment {
@@ -103,6 +119,13 @@
             return measured(() -> Experiments.start(into, jars, rounds, config));
         }
 
+        @Command(name = "sites", description = "The loss of a site and its return, several ways, on a virtual clock.",
+                mixinStandardHelpOptions = true)
+        int sites(@Option(names = "--into", paramLabel = "FOLDER", defaultValue = "target/experiment") Path into,
+                @Option(names = "--seeds", defaultValue = "30") int seeds) throws Exception {
+            return measured(() -> Experiments.sites(into, seeds));
+        }
+
         private interface Measurement {
             void run() throws Exception;
         }
@@ -175,6 +198,132 @@
         }
     }
 
+    @Command(name = "sites", description = "Sites whose clients others may take: how they stand, and losses.",
+            mixinStandardHelpOptions = true, subcommands = {SitesStatus.class, SitesPlan.class, SitesDrill.class,
+                SitesHold.class, SitesRelease.class})
+    static final class Sites { }
+
+    private static JsonObject sites(Admin admin) throws IOException {
+        HttpResponse<String> r = admin.call("GET", "/sites/status", null);
+        if (r.statusCode() != 200) {
+            throw new IOException(r.statusCode() == 404 ? "this director keeps no sites" : r.body().strip());
+        }
+        return new JsonObject(r.body());
+    }
+
+    @Command(name = "status", description = "How each site stands; exit code 1 if any is not whole, 3 without a leader.",
+            mixinStandardHelpOptions = true)
+    static final class SitesStatus implements Callable<Integer> {
+        @Mixin
+        Admin admin;
+        @Option(names = "--output", paramLabel = "text|json", defaultValue = "text")
+        String output;
+
+        @Override
+        public Integer call() throws IOException {
+            JsonObject s = sites(admin);
+            boolean whole = true;
+            StringBuilder t = new StringBuilder("kept by " + (s.getString("keeper").isEmpty() ? "nobody" : s.getString("keeper"))
+                    + "\n");
+            for (Object o : s.getJsonArray("sites")) {
+                JsonObject x = (JsonObject) o;
+                whole &= x.getString("phase").equals("whole");
+                t.append(String.format("site %-16s %s%s%s%s, load %.1f of %.1f, can lend %.1f%n", x.getString("site"),
+                        x.getString("phase"), x.getString("health").equals("well") ? "" : " (" + x.getString("health") + ")",
+                        x.getString("phase").equals("returning") ? " at step " + x.getInteger("step") : "",
+                        (x.getBoolean("held") ? ", held" : "") + (x.getBoolean("drill") ? ", a drill" : ""),
+                        x.getDouble("load"), x.getDouble("bears"), x.getDouble("spare")));
+            }
+            System.out.print(output.equals("json") ? s.encodePrettily() + "\n" : t.toString());
+            return s.getValue("leader") == null ? UNREACHED : whole ? DONE : NO;
+        }
+    }
+
+    @Command(name = "plan", description = "What happens if a site is lost; exit code 1 if one of them can't be borne.",
+            mixinStandardHelpOptions = true)
+    static final class SitesPlan implements Callable<Integer> {
+        private static final double NOTHING = 0.005;
+
+        @Mixin
+        Admin admin;
+        @Parameters(paramLabel = "SITE", arity = "0..1", description = "else each of them")
+        String site;
+
+        @Override
+        public Integer call() throws IOException {
+            JsonObject s = sites(admin);
+            boolean borne = true, known = site == null;
+            for (Object o : s.getJsonArray("sites")) {
+                JsonObject x = (JsonObject) o;
+                if (site != null && !site.equals(x.getString("site"))) {
+                    continue;
+                }
+                known = true;
+                double room = 0;
+                StringBuilder t = new StringBuilder(String.format("if %s is lost (load %.1f):%n", x.getString("site"), x.getDouble("load")));
+                for (Object p : x.getJsonArray("takers")) {
+                    JsonObject taker = (JsonObject) p;
+                    room += taker.getDouble("most") - taker.getDouble("work");
+                    t.append(String.format("  %-16s takes %.1f, up to %.1f%n", taker.getString("site"), taker.getDouble("work"),
+                            taker.getDouble("most")));
+                }
+                if (x.getDouble("refused") > NOTHING) {
+                    borne = false;
+                    t.append(String.format("  WARNING: %.1f is refused: nobody can take it%n", x.getDouble("refused")));
+                } else {
+                    t.append(String.format("  head-room left %.1f%n", room));
+                }
+                System.out.print(t);
+            }
+            if (!known) {
+                System.err.println("pewtercourse: '" + site + "' is no site of the file");
+                return UNUSABLE;
+            }
+            return s.getInteger("planned") == 0 ? UNREACHED : borne ? DONE : NO;
+        }
+    }
+
+    /** A word on one site. */
+    abstract static class SitesWord implements Callable<Integer> {
+        @Mixin
+        Admin admin;
+        @Parameters(paramLabel = "SITE")
+        String site;
+
+        abstract String word();
+
+        @Override
+        public Integer call() throws IOException {
+            return admin.post("/sites/" + word(), new JsonObject().put("name", site));
+        }
+    }
+
+    @Command(name = "drill", description = "Has a site lost on purpose, step by step; release brings it back.",
+            mixinStandardHelpOptions = true)
+    static final class SitesDrill extends SitesWord {
+        @Override
+        String word() {
+            return "drill";
+        }
+    }
+
+    @Command(name = "hold", description = "Keeps a site from returning, or at the step where it is.",
+            mixinStandardHelpOptions = true)
+    static final class SitesHold extends SitesWord {
+        @Override
+        String word() {
+            return "hold";
+        }
+    }
+
+    @Command(name = "release", description = "Ends a drill and a hold.", mixinStandardHelpOptions = true)
+    static final class SitesRelease extends SitesWord {
+        @Override
+        String word() {
+            return "release";
+        }
+    }
+
     @Command(name = "hand-on", description = "Has a duty's holder hand it on.", mixinStandardHelpOptions = true)
     static final class HandOn implements Callable<Integer> {
         @Mixin
--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -119,9 +119,16 @@
      */
     private static synchronized void reload(Context loop, Service service) {
         try {
-            running = running.again(System.getenv());
-            DirectorConfig to = running;
-            loop.runOnContext(v -> service.reload(to));
+            DirectorConfig to = running.again(System.getenv());
+            // Both files, or neither.
+            ClusterConfig cluster = ClusterConfig.fromEnvironment(System.getenv());
+            running = to;
+            loop.runOnContext(v -> {
+                service.reload(to);
+                if (cluster != null && cluster.sites() != null) {
+                    service.sites(cluster.sites());
+                }
+            });
         } catch (ConfigException e) {
             Log.warn("config.kept", "key", e.getMessage());
             loop.runOnContext(v -> service.turnedDown());
--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -19,6 +19,7 @@
 import pewtercourse.handover.InheritedSocket;
 import pewtercourse.handover.OperatorState;
 import pewtercourse.handover.StateFile;
+import pewtercourse.site.Sites;
 
 /** One running director: its front, its operators' address and what stands between them. All on the event loop. */
 final class Service implements Operations {
@@ -203,6 +204,13 @@
         return agreement.start();
     }
 
+    /** A new file of sites, already checked. */
+    void sites(Sites to) {
+        if (agreement != null) {
+            agreement.sites(to);
+        }
+    }
+
     /** Nothing more is agreed or written. */
     void leave() {
         if (agreement != null) {
--- a/src/main/java/pewtercourse/admin/AdminApi.java
+++ b/src/main/java/pewtercourse/admin/AdminApi.java
@@ -13,7 +13,7 @@
     }
 
     Future<AdminReply> handle(AdminCall call) {
-        if (call.path().startsWith("/cluster/") && director.cluster() != null) {
+        if ((call.path().startsWith("/cluster/") || call.path().startsWith("/sites/")) && director.cluster() != null) {
             return ClusterApi.handle(director.cluster(), call);
         }
         String method = switch (call.path()) {
--- a/src/main/java/pewtercourse/admin/ClusterApi.java
+++ b/src/main/java/pewtercourse/admin/ClusterApi.java
@@ -10,8 +10,9 @@
 
     static Future<AdminReply> handle(ClusterCalls cluster, AdminCall call) {
         String method = switch (call.path()) {
-            case "/cluster/status" -> "GET";
-            case "/cluster/hand-on", "/cluster/transfer", "/cluster/add", "/cluster/remove" -> "POST";
+            case "/cluster/status", "/sites/status" -> "GET";
+            case "/cluster/hand-on", "/cluster/transfer", "/cluster/add", "/cluster/remove", "/sites/drill", "/sites/hold",
+                    "/sites/release" -> "POST";
             default -> null;
         };
         if (method == null) {
@@ -20,6 +21,13 @@
         if (!method.equals(call.method())) {
             return Future.succeededFuture(new AdminReply(405, "the method is " + method, method));
         }
+        JsonObject sites = call.path().startsWith("/sites/") ? cluster.sites() : null;
+        if (call.path().startsWith("/sites/") && sites == null) {
+            return Future.succeededFuture(AdminReply.of(404, "this director keeps no sites"));
+        }
+        if (call.path().equals("/sites/status")) {
+            return Future.succeededFuture(AdminReply.of(200, sites.encode()));
+        }
         if (method.equals("GET")) {
             return cluster.status().map(s -> AdminReply.of(200, s.encode()));
         }
@@ -34,6 +42,9 @@
         return switch (call.path()) {
             case "/cluster/hand-on" -> duty.isEmpty() ? missing("duty") : cluster.handOn(duty, to)
                     .map(ClusterApi::verdict).otherwise(e -> AdminReply.of(503, e.getMessage()));
+            case "/sites/drill", "/sites/hold", "/sites/release" -> name.isEmpty() ? missing("name")
+                    : cluster.site(call.path().substring("/sites/".length()), name).map(ClusterApi::verdict)
+                            .otherwise(e -> AdminReply.of(503, e.getMessage()));
             case "/cluster/transfer" -> Future.succeededFuture(verdict(cluster.transfer(to)));
             case "/cluster/add" -> name.isEmpty() ? missing("name") : address.isEmpty() ? missing("address")
                     : Future.succeededFuture(verdict(cluster.add(name, address)));
--- a/src/main/java/pewtercourse/admin/ClusterCalls.java
+++ b/src/main/java/pewtercourse/admin/ClusterCalls.java
@@ -10,6 +10,12 @@
     /** Fails with the reason when it is not agreed in time. */
     Future<String> handOn(String duty, String to);
 
+    /** How the sites stand and what happens if one is lost; null where sites are not kept. */
+    JsonObject sites();
+
+    /** {@code drill}, {@code hold} or {@code release} of a site. Fails with the reason when it is not agreed in time. */
+    Future<String> site(String call, String name);
+
     String transfer(String to);
 
     String add(String name, String address);
--- a/src/main/java/pewtercourse/cluster/Cluster.java
+++ b/src/main/java/pewtercourse/cluster/Cluster.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -43,6 +44,13 @@
 import pewtercourse.raft.store.Store;
 import pewtercourse.raft.store.StoreException;
 import pewtercourse.raft.wire.Wire;
+import pewtercourse.site.Book;
+import pewtercourse.site.Keeper;
+import pewtercourse.site.Plan;
+import pewtercourse.site.Planner;
+import pewtercourse.site.Sight;
+import pewtercourse.site.Sites;
+import pewtercourse.site.Status;
 
 /**
  * This director as a member of a cluster: between the sockets, the disk and the clock on the one side, the agreement and
@@ -54,6 +62,7 @@
     private static final int SNAPSHOT_AFTER = 8_192, PENDING_MOST = 256, ROUNDS_MOST = 8;
     // A caller of the operators' address is cut off after 2 s.
     private static final long AGREE_MS = 1_300, CALL_AGAIN_MS = 150, READ_MS = 400, LET_MS = 400;
+    private static final long SIGHT_EVERY = 1_000_000; // Microseconds.
     private static final long REOPEN_FIRST_MS = 500, REOPEN_MOST_MS = 8_000;
 
     private final Vertx vertx;
@@ -67,15 +76,18 @@
     private final Map<Long, Promise<Boolean>> reads = new HashMap<>();
     private final Map<String, List<Promise<Boolean>>> letWaits = new HashMap<>(); // As many as the table of callers.
     private final Set<String> toldRegressed = new HashSet<>();
+    private Sites sites; // Null where they are not kept.
     private Duties duties;
     private ExecutorService thread;
     private Disk disk;
     private MemberNet net;
     private Raft raft; // Null while the folder is not open.
     private long timer = -1, reopenMs = REOPEN_FIRST_MS, nextRead = 1, applied, toldWords = -1, transferAt = -1,
-            diskFailures;
+            diskFailures, toldSites = -1, sightAt;
+    private Set<String> toldAbsent = Set.of();
     private String toldLeader = "";
     private final Map<String, Long> toldTokens = new HashMap<>();
+    private final Map<String, Status> toldStatuses = new HashMap<>();
     private boolean willing = true, closed, pumping;
 
     public Cluster(Vertx vertx, ClusterConfig config, ClusterHost host) {
@@ -84,6 +96,7 @@
         this.timers = Timers.of(vertx);
         this.config = config;
         this.host = host;
+        this.sites = config.sites();
     }
 
     // ---- Its folder, at the start and after an error ----
@@ -130,6 +143,9 @@
         disk = new Disk(thread, loop, store, this::saved, this::diskFailed);
         duties = new Duties(config.duties(), config.name(), new SecureRandom().nextLong() >>> 16, host::zoneOf,
                 host::zoneSize);
+        if (sites != null) {
+            duties.sites(now(), sites);
+        }
         duties.willing(willing);
         raft = new Raft(config.raft(), config.name(), saved, now(), random);
         applied = saved.snapshot().index();
@@ -276,6 +292,7 @@
         try {
             if (r.install() != null) {
                 toldWords = -1;
+                toldSites = -1;
                 duties.restored(now(), DutyState.decode(r.install().state()));
                 applied = r.install().index();
                 changed = true;
@@ -297,6 +314,7 @@
                 p.tryComplete(x.confirmed());
             }
         });
+        tellSites();
         if (changed && duties.state().words() != toldWords) {
             toldWords = duties.state().words();
             host.agreed(duties.state().out(), duties.state().back());
@@ -329,12 +347,15 @@
         Duties.View view = new Duties.View(raft.members().all().keySet(), heard, System.currentTimeMillis());
         for (Command.Signed s : duties.tick(now, view)) {
             if (s.command() instanceof Command.Let || s.command() instanceof Command.Lend
-                    || s.command() instanceof Command.Settle || s.command() instanceof Command.Withdraw) {
+                    || s.command() instanceof Command.Settle || s.command() instanceof Command.Withdraw
+                    || s.command() instanceof Command.Declare) {
                 Log.info("duty.act", "order", s.command(), "id", s.id());
             }
             offer(DutyCodec.encode(s), s.id());
             any = true;
         }
+        sight(now);
+        plan();
         Command.Signed borrow = duties.borrow(now, Math.round(1_000 * host.coldWanted()));
         if (borrow != null) {
             offer(DutyCodec.encode(borrow), borrow.id());
@@ -369,6 +390,61 @@
         }
     }
 
+    private void tellSites() {
+        Book book = duties.state().book();
+        if (sites == null || book.version() == toldSites && duties.state().absent().equals(toldAbsent)) {
+            return;
+        }
+        toldSites = book.version();
+        toldAbsent = Set.copyOf(duties.state().absent());
+        book.statuses().forEach((name, s) -> {
+            Status before = toldStatuses.put(name, s);
+            if (!s.equals(before)) {
+                Log.info("site.status", "site", name, "phase", s.phase(), "health", s.health(), "step", s.step(), "flaps",
+                        s.flaps(), "held", s.held(), "drill", s.drill(), "entry", s.entry());
+            }
+        });
+        host.sites(book, toldAbsent);
+    }
+
+    /** Sites as a new file describes them, from now on. */
+    public void sites(Sites to) {
+        sites = to;
+        toldSites = -1;
+        if (raft != null) {
+            duties.sites(now(), to);
+            pump();
+        }
+    }
+
+    // Off the event loop: a plan for many sites takes some milliseconds.
+    private void plan() {
+        Keeper.Question q = sites == null ? null : duties.question(now());
+        if (q == null) {
+            return;
+        }
+        Sites of = sites;
+        vertx.executeBlocking(() -> new Planner().plan(of, q.loads(), q.lost(), q.unfit(), q.before())).onComplete(p -> {
+            if (p.failed()) {
+                Log.warn("site.not_planned", "error", p.cause());
+            } else if (raft != null && of == sites) {
+                duties.planned(now(), p.result());
+                pump();
+            }
+        });
+    }
+
+    private void sight(long now) {
+        if (sites != null && now >= sightAt) {
+            sightAt = now + SIGHT_EVERY;
+            Map<String, Sight> sights = host.sights();
+            if (!sights.isEmpty()) {
+                Command.Signed s = duties.sighted(sights);
+                offer(DutyCodec.encode(s), s.id());
+            }
+        }
+    }
+
     // What changed, for the log.
     private void tell() {
         String leader = raft.leader() == null ? "" : raft.leader();
@@ -583,6 +659,39 @@
         };
     }
 
+    public boolean knowsSite(String name) {
+        return sites != null && sites.sites().containsKey(name);
+    }
+
+    /**
+     * For operators: how each site stands, what its clients ask for, and what happens if it is lost as well as those that
+     * are away now. Null where sites are not kept.
+     */
+    public JsonObject sitesStatus() {
+        if (sites == null) {
+            return null;
+        }
+        Book book = state().book();
+        Map<String, Double> loads = duties == null ? Map.of() : duties.loads();
+        JsonArray all = new JsonArray();
+        sites.sites().forEach((name, site) -> {
+            Status s = book.status(name);
+            double load = loads.getOrDefault(name, 0.0);
+            Set<String> lost = new TreeSet<>(book.away());
+            lost.add(name);
+            Plan.Shares shares = book.plan().when(lost).getOrDefault(name, Plan.Shares.NOTHING);
+            JsonArray takers = new JsonArray();
+            shares.parts().forEach(p -> takers.add(new JsonObject().put("site", p.site()).put("work", p.work())
+                    .put("most", p.most())));
+            all.add(new JsonObject().put("site", name).put("phase", s.phase().name().toLowerCase(Locale.ROOT))
+                    .put("health", s.health().name().toLowerCase(Locale.ROOT)).put("step", s.step()).put("flaps", s.flaps())
+                    .put("held", s.held()).put("drill", s.drill()).put("load", load).put("bears", site.bears())
+                    .put("spare", site.spare(load)).put("takers", takers).put("refused", shares.refused()));
+        });
+        return new JsonObject().put("open", raft != null).put("keeper", state().duty(DutyState.SITES).holder())
+                .put("leader", raft == null ? null : raft.leader()).put("planned", book.plan().cases().size()).put("sites", all);
+    }
+
     /** For operators, by name. While its folder can't be used only {@code cluster.open}, 0, is known. */
     public Map<String, Long> figures() {
         Map<String, Long> f = new LinkedHashMap<>();
--- a/src/main/java/pewtercourse/cluster/ClusterHost.java
+++ b/src/main/java/pewtercourse/cluster/ClusterHost.java
@@ -1,6 +1,9 @@
 package pewtercourse.cluster;
 
 import java.util.Map;
+import java.util.Set;
+import pewtercourse.site.Book;
+import pewtercourse.site.Sight;
 
 /** What the cluster asks of the director around it. All on the event loop. */
 public interface ClusterHost {
@@ -16,6 +19,14 @@
     /** This director's part of a cold cache's budget, as a factor on what it has by itself. */
     void part(double factor);
 
+    /** What it has seen of sites in the last seconds, by site; empty where sites are not kept. */
+    default Map<String, Sight> sights() {
+        return Map.of();
+    }
+
+    /** What is agreed on the sites has changed, or how many directors of its own site are there. */
+    default void sites(Book book, Set<String> absent) { }
+
     /** How much of its part it could use in addition, as a share of a part; 0 if it needs no more. */
     double coldWanted();
 }
--- a/src/main/java/pewtercourse/config/ClusterConfig.java
+++ b/src/main/java/pewtercourse/config/ClusterConfig.java
@@ -14,14 +14,16 @@
 import pewtercourse.duty.DutySettings;
 import pewtercourse.duty.DutyState;
 import pewtercourse.raft.RaftSettings;
+import pewtercourse.site.Sites;
 
 /**
  * What a member of a cluster of directors is told by the file that GW_CLUSTER names (JSON): {@code cluster}, the same at
  * all members; {@code name}, its own; {@code listen}; {@code data}, a lasting folder of its own; {@code members}, of
- * which there are three, five or seven, with addresses as this member reaches them.
+ * which there are three, five or seven, with addresses as this member reaches them. {@code sites}: what GW_SITES
+ * names, or null.
  */
 public record ClusterConfig(String cluster, String name, InetSocketAddress listen, Path data,
-        Map<String, String> members, RaftSettings raft, DutySettings duties) {
+        Map<String, String> members, RaftSettings raft, DutySettings duties, Sites sites) {
     private static final Set<String> KEYS = Set.of("cluster", "name", "listen", "data", "members", "heartbeat_ms",
             "election_ms", "lease_ms", "drift", "duties");
     private static final int MEMBERS_MOST = 7, NAME_MOST = 64;
@@ -30,7 +32,22 @@
     /** Null where the environment names no file. */
     public static ClusterConfig fromEnvironment(Map<String, String> env) {
         String path = env.getOrDefault("GW_CLUSTER", "");
-        return path.isEmpty() ? null : fromFile(Path.of(path));
+        String sites = env.getOrDefault("GW_SITES", "");
+        if (path.isEmpty()) {
+            if (!sites.isEmpty()) {
+                throw new ConfigException("GW_SITES", "needs GW_CLUSTER: only directors that agree can keep sites");
+            }
+            return null;
+        }
+        ClusterConfig cluster = fromFile(Path.of(path));
+        return sites.isEmpty() ? cluster : cluster.with(SitesConfig.fromFile(Path.of(sites)));
+    }
+
+    private ClusterConfig with(Sites of) {
+        Set<String> names = new TreeSet<>(duties.names());
+        names.add(DutyState.SITES);
+        return new ClusterConfig(cluster, name, listen, data, members, raft, new DutySettings(duties.lease(), duties.drift(),
+                duties.again(), names, duties.warden(), duties.divider()), of);
     }
 
     public static ClusterConfig fromFile(Path path) {
@@ -77,7 +94,7 @@
                 DirectorConfig.address("listen", text("listen", json.getValue("listen"))),
                 Path.of(text("data", json.getValue("data"))), members,
                 RaftSettings.of(heartbeat, from.longValue() * 1_000, to.longValue() * 1_000),
-                duties(json.getValue("duties"), lease, drift, from.longValue() * 1_000));
+                duties(json.getValue("duties"), lease, drift, from.longValue() * 1_000), null);
     }
 
     private static Map<String, String> members(JsonObject json) {
--- a/src/main/java/pewtercourse/config/DirectorConfig.java
+++ b/src/main/java/pewtercourse/config/DirectorConfig.java
@@ -147,6 +147,11 @@
         return Math.max(16, (sockets - front().connections() - otherDescriptors()) / (inherits ? 2 : 1));
     }
 
+    /** The zone of this director, "" if the settings name none. */
+    public String zone() {
+        return source.getJsonObject("settings").getValue("Zone") instanceof String z ? z : "";
+    }
+
     /** The keys of the file that differ and only a restart can carry out, in order. */
     public List<String> changedSince(DirectorConfig old) {
         Set<String> keys = new TreeSet<>(source.fieldNames());
--- a/src/main/java/pewtercourse/config/SiteSettings.java
+++ b/src/main/java/pewtercourse/config/SiteSettings.java
@@ -12,7 +12,24 @@
  * Unknown keys are ignored. Times are microseconds, as in the decision module.
  */
 public record SiteSettings(Router.Settings router, Map<String, Integer> classes, Map<String, Integer> zones,
-        String parentKind, String originKind, long connectTimeout, long idleClose, long answerSlack) {
+        String parentKind, String originKind, long connectTimeout, long idleClose, long answerSlack,
+        Map<String, Worth> worths) {
+    /** What a request of a class is worth, and how long past its fresh time a copy may still be served. */
+    public record Worth(double worth, long grace) { }
+
+    /** The module's settings for requests of this director's clients that go to the caches of another zone. */
+    public Router.Settings guestsAt(String zone) {
+        Router.RequestClass[] others = router.classes().clone();
+        classes.forEach((name, i) -> {
+            Router.RequestClass c = others[i];
+            // An ageing copy before a refusal.
+            long goodFor = c.goodFor() == 0 ? 0 : c.goodFor() + worths.get(name).grace();
+            others[i] = new Router.RequestClass(c.effect(), c.group(), c.memorySpan(), c.aim(), c.aimStretch(), c.deadline(),
+                    c.stream(), goodFor, c.inParts(), c.goesThrough());
+        });
+        return router.guest(zones.getOrDefault(zone, -1), others);
+    }
+
 
     public static SiteSettings read(Map<String, String> info) {
         return new Reader(info).read();
@@ -31,7 +48,7 @@
         Router.RequestClass[] all = Arrays.copyOf(before.router.classes(), places.size());
         classes.forEach((name, i) -> all[at.get(name)] = router.classes()[i]);
         return new SiteSettings(router.with(all), at, zones, parentKind, originKind, connectTimeout, idleClose,
-                answerSlack);
+                answerSlack, worths);
     }
 
     /** Whether a line of the list means the same under these. */
@@ -45,6 +62,10 @@
         return !kind.equals(parentKind) && !kind.equals(originKind);
     }
 
+    public boolean isParent(String kind) {
+        return kind.equals(parentKind);
+    }
+
     /** A line of the list, with the names of zone and kind resolved. */
     public Router.Member member(long id, String zone, String kind, int cell, Router.State state, double weight,
             long since) {
@@ -80,7 +101,14 @@
             return new SiteSettings(s, names, zones, kind(kinds, (int) number("Domain.MidKind", -1)),
                     kind(kinds, (int) number("Domain.MasterKind", -1)),
                     micros(number("Permissions.ConnectTimeout", 1000)),
-                    micros(number("Permissions.IdleClose", 15_000)), span("Rules.AnswerSlack"));
+                    micros(number("Permissions.IdleClose", 15_000)), span("Rules.AnswerSlack"), worths(names));
+        }
+
+        private Map<String, Worth> worths(Map<String, Integer> names) {
+            Map<String, Worth> worths = new HashMap<>();
+            names.forEach((name, c) -> worths.put(name,
+                    new Worth(number("Classes." + c + ".Worth", 1), micros(item("Domain.ClassGrace", c)))));
+            return worths;
         }
 
         private Router.RequestClass requestClass(int c) {
--- a/src/main/java/pewtercourse/decision/Router.java
+++ b/src/main/java/pewtercourse/decision/Router.java
@@ -61,6 +61,16 @@
                     parallelTries, mayCancel, maxRetryAfter, tryLimit, pushedLists, weightsTold, siblings, notes,
                     coldCache, coldParent, tipAfter, purgeTakes);
         }
+
+        /**
+         * For a router that sends guests to the caches of another zone: what its link carries is not known, and it tells
+         * the other routers nothing.
+         */
+        public Settings guest(int other, RequestClass[] others) {
+            return new Settings(me, routers, other, seats, others, clientKbPerS, 0, canJoin, mayPassBy, false, parallelTries,
+                    mayCancel, maxRetryAfter, tryLimit, pushedLists, weightsTold, siblings, notes, coldCache, coldParent, tipAfter,
+                    purgeTakes);
+        }
     }
 
     /** A line of the list. {@code since}: time of its last start, 0 for long ago. */
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -31,6 +31,12 @@
 import pewtercourse.front.RequestHandler;
 import pewtercourse.handover.OperatorState;
 import pewtercourse.peer.PeerSocket;
+import pewtercourse.site.Book;
+import pewtercourse.site.Guests;
+import pewtercourse.site.Sight;
+import pewtercourse.site.Sights;
+import pewtercourse.site.Site;
+import pewtercourse.site.Sites;
 
 /**
  * Between the sockets and the decision module: hands it what happened, in order of arrival and in one batch for
@@ -53,7 +59,8 @@
     private final Map<String, Integer> places; // Of the classes, also of those that have gone.
     private final Vertx vertx;
     private final Context context;
-    private final Router router;
+    private final Desk home;
+    private final Map<String, Desk> abroad = new HashMap<>(); // By zone: for requests that its caches take as guests.
     private final PeerSocket peers;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     private final Set<Long> answered = Collections.newSetFromMap(new LinkedHashMap<>() {
@@ -64,10 +71,49 @@
             return size() > ANSWERED_MOST;
         }
     });
-    private List<Router.Event> events = new ArrayList<>();
     private FeedClient feed;
+    private Sites sites; // Null where no site takes another's clients.
+    private Guests guests;
+    private Sights sights;
     private Runnable peerHeard = () -> { };
-    private boolean scheduled, stopped;
+    private boolean stopped;
+
+    /** A module and what it is to be told with the next batch. The one of the own zone is there always. */
+    final class Desk {
+        private final Router router;
+        private final boolean guest;
+        private List<Router.Event> events = new ArrayList<>();
+        private boolean scheduled;
+
+        private Desk(Router.Settings settings, boolean guest) {
+            this.router = new Logic(settings, config.seed());
+            this.guest = guest;
+        }
+
+        boolean guest() {
+            return guest;
+        }
+
+        /** Queues an event; the batch goes to the module when what the loop has at hand is read. */
+        void tell(Router.Event e) {
+            events.add(e);
+            if (!scheduled) {
+                scheduled = true;
+                context.runOnContext(v -> decide(this));
+            }
+        }
+
+        /** Takes back an event that has not been handed over yet; false if it is too late. */
+        boolean untell(Router.Event e) {
+            for (int i = events.size() - 1; i >= 0; i--) {
+                if (events.get(i) == e) {
+                    events.remove(i);
+                    return true;
+                }
+            }
+            return false;
+        }
+    }
 
     /** Must be called on the event loop's context. */
     public Director(Vertx vertx, DirectorConfig config) {
@@ -83,10 +129,10 @@
         this.timers = Timers.of(vertx);
         this.pool = new CachePool(transport, timers, clock, (long) (IDLE_SHARE * site.idleClose()), config.cacheConnections());
         this.roster = new Roster(site, pool);
-        this.router = new Logic(site.router(), config.seed());
+        this.home = new Desk(site.router(), false);
         this.peers = new PeerSocket(vertx, config.peers(), config.inherits(), (from, bytes) -> {
             peerHeard.run();
-            tell(new Router.PeerMessage(from, bytes));
+            home.tell(new Router.PeerMessage(from, bytes));
         });
     }
 
@@ -130,7 +176,8 @@
         SiteSettings next = to.site().placed(places, site);
         boolean listAnew = !next.namesAlike(site);
         site = next;
-        tell(new Router.Reconfigured(next.router()));
+        home.tell(new Router.Reconfigured(next.router()));
+        abroad.forEach((zone, d) -> d.tell(new Router.Reconfigured(next.guestsAt(zone))));
         pool.idleMost((long) (IDLE_SHARE * next.idleClose()));
         roster.use(next);
         if (listAnew) {
@@ -158,12 +205,12 @@
 
     /** This director's part of what cold caches bear, as a factor on an equal part. */
     public void part(double factor) {
-        tell(new Router.Parted(factor));
+        home.tell(new Router.Parted(factor));
     }
 
     /** How much more of that it could use, as a share of an equal part. */
     public double coldWanted() {
-        return router.insight().coldShort() ? 1 : 0;
+        return home.router.insight().coldShort() ? 1 : 0;
     }
 
     public boolean knows(String name) {
@@ -203,7 +250,7 @@
 
     /** The figures of the parts behind the front. */
     public Figures.Gauges gauges(long accepted, long invalid) {
-        return new Figures.Gauges(pool.written(), roster.size(), roster.listedOut() + router.insight().avoided(), accepted, invalid);
+        return new Figures.Gauges(pool.written(), roster.size(), roster.listedOut() + home.router.insight().avoided(), accepted, invalid);
     }
 
     public boolean knowsClass(String name) {
@@ -221,6 +268,7 @@
     private void feed(FeedEvent e) {
         if (e instanceof FeedEvent.Members m) {
             tell(roster.apply(m));
+            noteListed();
         } else if (e instanceof FeedEvent.Purge p) {
             exchanges.values().forEach(x -> x.purged(p));
             tell(new Router.Purged(p.object(), p.group(),
@@ -259,36 +307,92 @@
         exchanges.remove(x.id, x);
     }
 
-    /** Queues an event; the batch goes to the module when what the loop has at hand is read. */
-    void tell(Router.Event e) {
-        events.add(e);
-        if (!scheduled) {
-            scheduled = true;
-            context.runOnContext(v -> decide());
+    private void noteListed() {
+        if (guests != null) {
+            guests.listed(roster.readyCaches().getOrDefault(config.zone(), 0) > 0);
         }
     }
 
-    /** Takes back an event that has not been handed over yet; false if it is too late. */
-    boolean untell(Router.Event e) {
-        for (int i = events.size() - 1; i >= 0; i--) {
-            if (events.get(i) == e) {
-                events.remove(i);
-                return true;
-            }
+    // To all modules: the list and purges count for each.
+    private void tell(Router.Event e) {
+        home.tell(e);
+        abroad.values().forEach(d -> d.tell(e));
+    }
+
+    // ---- Sites: whose caches serve a request ----
+
+    /** Other sites may take this director's clients, by what is agreed, from now on. */
+    public void sites(Sites to) {
+        sites = to;
+        guests = new Guests(to, config.zone(), site.router().maxRetryAfter(), config.seed());
+        sights = sights == null ? new Sights(config.zone()) : sights;
+        noteListed();
+    }
+
+    /** What is agreed on the sites has changed. */
+    public void follow(Book book, Set<String> absent) {
+        if (sites == null) {
+            return;
+        }
+        Site own = sites.sites().get(config.zone());
+        int there = own == null ? 1 : (int) own.directors().stream().filter(d -> !absent.contains(d)).count();
+        guests.follow(clock.getAsLong(), book, there);
+    }
+
+    /** What was seen of sites in the last seconds. */
+    public Map<String, Sight> sights() {
+        return sites == null ? Map.of() : sights.told(clock.getAsLong(), sites, roster.readyCaches(), roster.readyParents());
+    }
+
+    Sights sightsOrNull() {
+        return sights;
+    }
+
+    /** Where a request is to go, or null: to no other site than the own one. */
+    Guests.Choice choose(ClientRequest r, int cls, long expires) {
+        if (guests == null) {
+            return null;
+        }
+        long now = clock.getAsLong();
+        Router.RequestClass c = site.router().classes()[cls];
+        double work = r.sizeKb() > 0 && site.router().clientKbPerS() > 0 ? r.sizeKb() / site.router().clientKbPerS() * 1e6
+                : c.aim() / 2.0;
+        sights.asked(now, work);
+        if (!guests.away()) {
+            return null;
+        }
+        boolean must = c.effect() == Router.Effect.SIDE_EFFECT || c.goesThrough();
+        return guests.choose(now, new Guests.Ask(Guests.hash(r.object()), site.worths().get(r.className()).worth(), work, c.aim(),
+                expires, (long) work, must, false));
+    }
+
+    /** The module for a site's caches. */
+    Desk desk(String zone) {
+        if (zone.equals(config.zone())) {
+            return home;
         }
-        return false;
+        return abroad.computeIfAbsent(zone, z -> {
+            Desk d = new Desk(site.guestsAt(z), true);
+            d.tell(new Router.Parted(0)); // What its cold caches bear is for its own clients.
+            d.tell(roster.whole());
+            return d;
+        });
+    }
+
+    Desk home() {
+        return home;
     }
 
-    private void decide() {
-        scheduled = false;
+    private void decide(Desk desk) {
+        desk.scheduled = false;
         if (stopped) {
             return;
         }
-        List<Router.Event> batch = events;
-        events = new ArrayList<>();
+        List<Router.Event> batch = desk.events;
+        desk.events = new ArrayList<>();
         try {
-            for (Router.Action a : router.handle(clock.getAsLong(), batch)) {
-                act(a);
+            for (Router.Action a : desk.router.handle(clock.getAsLong(), batch)) {
+                act(desk, a);
             }
         } catch (RuntimeException e) {
             Log.error("decision.unexpected", e);
@@ -302,9 +406,9 @@
         }
     }
 
-    private void act(Router.Action action) {
+    private void act(Desk desk, Router.Action action) {
         if (action instanceof Router.Timer t) {
-            timers.set(Timers.millis(t.at() - clock.getAsLong()), () -> tell(new Router.TimerDue(t.name())));
+            timers.set(Timers.millis(t.at() - clock.getAsLong()), () -> desk.tell(new Router.TimerDue(t.name())));
         } else if (action instanceof Router.Tell t) {
             peers.send(t.router(), t.bytes());
         } else if (action instanceof Router.Send s) {
--- a/src/main/java/pewtercourse/director/Exchange.java
+++ b/src/main/java/pewtercourse/director/Exchange.java
@@ -11,6 +11,7 @@
 import pewtercourse.feed.FeedEvent;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
+import pewtercourse.site.Guests;
 
 /**
  * The life of one request, from top to bottom: it arrives; the module sends it on, once or several times, one
@@ -31,6 +32,7 @@
     private final int cls;
     private final long expires, backstop;
     private final Consumer<Answer> answer;
+    private Director.Desk desk; // The module that has it.
     private Router.Request arrival;
     private Attempt attempt;
     private Router.Send sent;
@@ -45,6 +47,7 @@
         this.cls = cls;
         this.expires = expires(request);
         this.answer = answer;
+        this.desk = director.home();
         this.backstop = director.timers.set(
                 Timers.millis(expires + BACKSTOP - director.clock.getAsLong()), this::unanswered);
     }
@@ -59,11 +62,19 @@
         return request.takenAt() + time - (long) Math.min(SPARE_MOST, SPARE_SHARE * time);
     }
 
-    // ---- It arrives: the module plans ----
+    // ---- It arrives: the module of the site that is to serve it plans ----
     void arrive() {
+        Guests.Choice choice = director.choose(request, cls, expires);
+        if (choice != null && choice.site() == null) {
+            refuse(choice.holdOff());
+            return;
+        }
+        if (choice != null) {
+            desk = director.desk(choice.site());
+        }
         arrival = new Router.Request(id, cls, request.object(), request.part(), request.group(),
                 request.sizeKb(), expires, false, director.site.router().classes()[cls].goesThrough());
-        director.tell(arrival);
+        desk.tell(arrival);
     }
 
     // ---- The module sends it to a cache ----
@@ -79,12 +90,12 @@
         // Never two out at once, never to or from a cache that has gone, never after the client's time.
         if (over || attempt != null || unlisted || until <= now
                 || attempts > director.site.router().tryLimit()) {
-            director.tell(outcome(attempts - 1, s, End.OVERTAKEN, null));
+            desk.tell(outcome(attempts - 1, s, End.OVERTAKEN, null));
             return;
         }
         purged = false;
         CacheRequest out = new CacheRequest(request.id(), request.className(), request.object(),
-                request.part(), request.body(), source == null ? null : source.name(), s.keep(),
+                request.part(), request.body(), source == null ? null : source.name(), keep(s),
                 (s.maxAge() + 999) / 1000, s.join(), s.sourceHoldsOnly(), s.renew(), request.known());
         int number = attempts - 1;
         attempt = new Attempt(director.pool, director.timers, director.clock, s.member(), to.address(), out,
@@ -92,6 +103,11 @@
         attempt.start();
     }
 
+    // A guest's copies are the first to go: they are of no use once its site is back.
+    private int keep(Router.Send s) {
+        return desk.guest() ? Math.min(1, s.keep()) : s.keep();
+    }
+
     // The feed may have spoken while a connection came up.
     private boolean stillRight(Router.Send s) {
         return !over && !purged && director.roster.ready(s.member())
@@ -123,10 +139,23 @@
                     "end", a.end(), "outcome", a.outcome(), "bytes", a.body() == null ? 0 : a.body().length(), "kb", request.sizeKb(), "ms",
                     (director.clock.getAsLong() - sentAt) / 1000);
         }
-        director.tell(outcome(number, s, a.end(), a.outcome()));
+        if (director.sightsOrNull() != null) {
+            seen(s, a.end());
+        }
+        desk.tell(outcome(number, s, a.end(), a.outcome()));
         leave();
     }
 
+    private void seen(Router.Send s, End end) {
+        FeedEvent.Host at = director.roster.get(s.member());
+        if (at != null) {
+            long now = director.clock.getAsLong();
+            Router.RequestClass c = director.site.router().classes()[cls];
+            double work = director.site.router().clientKbPerS() > 0 ? request.sizeKb() / director.site.router().clientKbPerS() * 1e6 : 0;
+            director.sightsOrNull().ended(now, at.zone(), end, now - sentAt > c.aim() + c.aimStretch() * work);
+        }
+    }
+
     private Router.Outcome outcome(int number, Router.Send s, End end, String note) {
         return new Router.Outcome(id, number, s.member(), Endings.of(end), director.clock.getAsLong() - sentAt,
                 over, Endings.note(note));
@@ -134,6 +163,9 @@
 
     // ---- The module gives up ----
     void refuse(long holdOff) {
+        if (director.sightsOrNull() != null && !desk.guest() && arrival != null) {
+            director.sightsOrNull().refused(director.clock.getAsLong());
+        }
         finish(Answer.refused(holdOff / 1000));
         leave();
     }
@@ -150,8 +182,8 @@
             director.timers.cancel(backstop);
             // What is withdrawn before the module has planned it is never planned: hundreds of requests that come and
             // go at once would else take up the room of the others until their attempts have ended.
-            if (!director.untell(arrival)) {
-                director.tell(new Router.ClientGone(id));
+            if (!desk.untell(arrival)) {
+                desk.tell(new Router.ClientGone(id));
                 cancel(attempts - 1);
             }
             leave();
@@ -167,7 +199,7 @@
 
     void abandon() {
         finish(Answer.failed());
-        director.tell(new Router.ClientGone(id));
+        desk.tell(new Router.ClientGone(id));
         cancel(attempts - 1);
         leave();
     }
--- a/src/main/java/pewtercourse/director/Roster.java
+++ b/src/main/java/pewtercourse/director/Roster.java
@@ -90,6 +90,23 @@
         return (int) hosts.values().stream().filter(h -> zone.equals(h.zone()) && site.isCache(h.kind())).count();
     }
 
+    /** Caches that may serve now, by zone. */
+    Map<String, Integer> readyCaches() {
+        return ready(true);
+    }
+
+    /** Parents that may be filled from now, by zone. */
+    Map<String, Integer> readyParents() {
+        return ready(false);
+    }
+
+    private Map<String, Integer> ready(boolean caches) {
+        Map<String, Integer> ready = new HashMap<>();
+        hosts.values().stream().filter(h -> ready(h.id()) && (caches ? site.isCache(h.kind()) : site.isParent(h.kind())))
+                .forEach(h -> ready.merge(h.zone(), 1, Integer::sum));
+        return ready;
+    }
+
     /** Takes a member out; returns what the module is to be told, null if nothing changes. */
     Router.Listed takeOut(String name, long nowMs) {
         return out.enter(name, nowMs) ? told(named(name)) : null;
--- a/src/main/java/pewtercourse/duty/Command.java
+++ b/src/main/java/pewtercourse/duty/Command.java
@@ -1,5 +1,10 @@
 package pewtercourse.duty;
 
+import java.util.Map;
+import pewtercourse.site.Keeper;
+import pewtercourse.site.Plan;
+import pewtercourse.site.Sight;
+
 /**
  * What members have agreed before it counts. {@code token}s are those of the duty that orders it; the state refuses
  * an older one. A command that comes twice changes nothing the second time.
@@ -49,6 +54,21 @@
     /** Whether the member that says so takes duties: not while it drains or stands by. */
     record Standing(boolean willing) implements Command { }
 
+    /** What a member has seen of sites of late, by site. Nothing is kept of it; each member judges by it. */
+    record Sighted(Map<String, Sight> sights) implements Command { }
+
+    /** By the keeper of the sites. */
+    record Declare(Keeper.Declaration what, long token) implements Command { }
+
+    /** By the keeper of the sites: where loads go. */
+    record Planned(Plan plan, long token) implements Command { }
+
+    /** An operator's word: this site is not to return ({@code on}), or may. {@code after}: the entry of its last change. */
+    record HoldSite(String site, boolean on, long after) implements Command { }
+
+    /** An operator's word: this site is to be lost, step by step. */
+    record Drill(String site, long after) implements Command { }
+
     /** With who asked for it and its number there. */
     record Signed(String by, long id, Command command) { }
 }
--- a/src/main/java/pewtercourse/duty/Duties.java
+++ b/src/main/java/pewtercourse/duty/Duties.java
@@ -9,6 +9,10 @@
 import java.util.function.Function;
 import java.util.function.LongBinaryOperator;
 import java.util.function.ToIntFunction;
+import pewtercourse.site.Keeper;
+import pewtercourse.site.Plan;
+import pewtercourse.site.Sight;
+import pewtercourse.site.Sites;
 
 /**
  * One member's part in the duties: what was agreed comes in, in order, and what it wishes to have agreed goes out. It
@@ -28,6 +32,7 @@
     private final Assigner assigner;
     private final Warden warden;
     private final Divider divider;
+    private Keeper keeper; // Null where sites are not kept.
     private final Map<String, Lease> mine = new TreeMap<>();
     private final Map<Long, Long> askedLoan = new HashMap<>(); // By the number of the command: when.
     private final Map<Long, Long> myAsks = new HashMap<>(); // By the entry of the wish: when it was asked for.
@@ -48,6 +53,34 @@
         this.divider = new Divider(set);
     }
 
+    /** The sites as this member's operators describe them, from now on. */
+    public void sites(long now, Sites sites) {
+        keeper = keeper == null ? new Keeper(sites) : keeper.with(sites);
+        keeper.see(now, state.book());
+    }
+
+    /** What this member has seen of sites of late. */
+    public Command.Signed sighted(Map<String, Sight> sights) {
+        return sign(new Command.Sighted(sights));
+    }
+
+    /** What a plan is to be made from, elsewhere, or null: this member doesn't keep the sites, or none is due. */
+    public Keeper.Question question(long now) {
+        return keeper == null || token(DutyState.SITES, now) == 0 ? null : keeper.question(now, state.book());
+    }
+
+    /** The plan for the last {@link #question}. */
+    public void planned(long now, Plan plan) {
+        if (keeper != null) {
+            keeper.answered(now, plan);
+        }
+    }
+
+    /** What each site's clients ask for, as far as this member has heard. */
+    public Map<String, Double> loads() {
+        return keeper == null ? Map.of() : keeper.detector().loads();
+    }
+
     /** To see checks fail, and as a baseline: counts leases and loans from another time than when they were asked for. */
     public void countFrom(LongBinaryOperator other) {
         from = other;
@@ -78,6 +111,8 @@
                     myAsks.clear();
                     myAsks.put(index, at);
                 }
+            } else if (s.command() instanceof Command.Sighted t && keeper != null) {
+                keeper.detector().see(now, s.by(), t.sights());
             } else if (s.command() instanceof Command.Lend l && l.to().equals(self) && set.divider() != null) {
                 Long at = myAsks.remove(l.ask());
                 if (at != null) {
@@ -94,6 +129,9 @@
         watch.see(now, state);
         warden.see(now, state);
         divider.see(now, state);
+        if (keeper != null) {
+            keeper.see(now, state.book());
+        }
         mine.keySet().removeIf(name -> !state.duty(name).holder().equals(self));
         state.duties().forEach((name, d) -> {
             if (d.holder().equals(self) && (!mine.containsKey(name) || mine.get(name).token != d.token())) {
@@ -178,6 +216,7 @@
         // Checked here, right before: it may have been stopped for long since the last time.
         act(signed, warden(now, view));
         act(signed, divider(now, view));
+        act(signed, sites(now, view));
         return signed;
     }
 
@@ -207,6 +246,21 @@
         return token == 0 || set.warden() == null ? List.of() : warden.orders(now, view.unixMs(), token, state);
     }
 
+    private List<Command> sites(long now, View view) {
+        long token = token(DutyState.SITES, now);
+        if (token == 0 || keeper == null) {
+            return List.of();
+        }
+        keeper.detector().members(view.members());
+        List<Command> orders = new ArrayList<>();
+        keeper.orders(now, state.book(), state.absent()).forEach(d -> orders.add(new Command.Declare(d, token)));
+        Plan plan = keeper.planned(state.book());
+        if (plan != null) {
+            orders.add(new Command.Planned(plan, token));
+        }
+        return orders;
+    }
+
     private List<Command> divider(long now, View view) {
         long token = token(DutyState.DIVIDER, now);
         return token == 0 || set.divider() == null ? List.of()
--- a/src/main/java/pewtercourse/duty/DutyCodec.java
+++ b/src/main/java/pewtercourse/duty/DutyCodec.java
@@ -43,6 +43,16 @@
             b.setSettle(DutyWire.Settle.newBuilder().setLoan(t.loan()).setToken(t.token()));
         } else if (c instanceof Command.Standing t) {
             b.setStanding(DutyWire.Standing.newBuilder().setWilling(t.willing()));
+        } else if (c instanceof Command.Sighted t) {
+            b.setSighted(SiteCodec.encode(t));
+        } else if (c instanceof Command.Declare d) {
+            b.setDeclare(SiteCodec.encode(d));
+        } else if (c instanceof Command.Planned p) {
+            b.setPlanned(DutyWire.Planned.newBuilder().setPlan(SiteCodec.encode(p.plan())).setToken(p.token()));
+        } else if (c instanceof Command.HoldSite h) {
+            b.setHoldSite(DutyWire.HoldSite.newBuilder().setSite(h.site()).setOn(h.on()).setAfter(h.after()));
+        } else if (c instanceof Command.Drill d) {
+            b.setDrill(DutyWire.Drill.newBuilder().setSite(d.site()).setAfter(d.after()));
         }
         return b.build().toByteArray();
     }
@@ -73,6 +83,12 @@
                     c.getLend().getToken(), c.getLend().getPool());
             case SETTLE -> new Command.Settle(c.getSettle().getLoan(), c.getSettle().getToken());
             case STANDING -> new Command.Standing(c.getStanding().getWilling());
+            case SIGHTED -> SiteCodec.decode(c.getSighted());
+            case DECLARE -> SiteCodec.decode(c.getDeclare());
+            case PLANNED -> new Command.Planned(SiteCodec.decode(c.getPlanned().getPlan()), c.getPlanned().getToken());
+            case HOLD_SITE -> new Command.HoldSite(c.getHoldSite().getSite(), c.getHoldSite().getOn(),
+                    c.getHoldSite().getAfter());
+            case DRILL -> new Command.Drill(c.getDrill().getSite(), c.getDrill().getAfter());
             case WHAT_NOT_SET -> throw new InvalidProtocolBufferException("a command of a later version");
         };
         return new Command.Signed(c.getBy(), c.getId(), what);
--- a/src/main/java/pewtercourse/duty/DutyState.java
+++ b/src/main/java/pewtercourse/duty/DutyState.java
@@ -9,14 +9,15 @@
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import pewtercourse.duty.wire.DutyWire;
+import pewtercourse.site.Book;
 
 /**
  * What the members have agreed on, the same at each after the same commands: it knows no clock and draws nothing.
  * Whether a lease is over is judged by those who wait for it ({@link LeaseWatch}); here only tokens and counts decide.
  */
 public final class DutyState {
-    /** The duties that this version knows. Duty names are free; these two give orders that are checked below. */
-    public static final String WARDEN = "warden", DIVIDER = "divider";
+    /** The duties that this version knows. Duty names are free; these give orders that are checked below. */
+    public static final String WARDEN = "warden", DIVIDER = "divider", SITES = "sites";
 
     // Bounds on what operators and members can make it keep.
     private static final int OUT_MOST = 1_024, TICKETS_MOST = 1_024, WISHES_MOST = 64, LOANS_MOST = 256, WORDS_MOST = 4_096;
@@ -47,7 +48,7 @@
      */
     public record Result(String why, boolean late) {
         static final Result DONE = new Result(null);
-        static final Result LATE = new Result("another word on this cache was agreed first: call again", true);
+        static final Result LATE = new Result("another word on this was agreed first: call again", true);
 
         public Result(String why) {
             this(why, false);
@@ -65,6 +66,7 @@
     private final TreeMap<String, Wish> wishes = new TreeMap<>();
     private final TreeMap<Long, Loan> loans = new TreeMap<>();
     private final TreeSet<String> unwilling = new TreeSet<>(), absent = new TreeSet<>();
+    private final Book book = new Book();
     private long lastToken, words;
 
     /** Applies the command of the log's entry {@code index}; its number is the number of what it makes. */
@@ -104,6 +106,27 @@
         } else if (c instanceof Command.Absent a) {
             return among(absent, a.member(), a.absent());
         }
+        return sites(index, c);
+    }
+
+    private Result sites(long index, Command c) {
+        if (c instanceof Command.Sighted) {
+            return Result.DONE;
+        } else if (c instanceof Command.Declare d) {
+            return duty(SITES).token() != d.token() ? new Result("an older token")
+                    : book.declare(index, d.what().site(), d.what().phase(), d.what().health(), d.what().step(), d.what().flaps(),
+                            d.what().after()) ? Result.DONE : new Result("another change of this site came first");
+        } else if (c instanceof Command.Planned p) {
+            if (duty(SITES).token() != p.token()) {
+                return new Result("an older token");
+            }
+            book.plan(p.plan());
+            return Result.DONE;
+        } else if (c instanceof Command.HoldSite h) {
+            return book.hold(index, h.site(), h.on(), h.after()) ? Result.DONE : Result.LATE;
+        } else if (c instanceof Command.Drill d) {
+            return book.drill(index, d.site(), d.after()) ? Result.DONE : Result.LATE;
+        }
         throw new IllegalArgumentException(c.toString());
     }
 
@@ -318,6 +341,11 @@
         return loans.values().stream().mapToLong(Loan::thousandths).sum();
     }
 
+    /** What is agreed on the sites. */
+    public Book book() {
+        return book;
+    }
+
     /** Members that take no duties for now. */
     public Set<String> unwilling() {
         return Collections.unmodifiableSet(unwilling);
@@ -344,6 +372,7 @@
                 .setThousandths(w.thousandths())));
         loans.forEach((n, l) -> b.addLoan(DutyWire.Loan.newBuilder().setNumber(n).setTo(l.to()).setAsk(l.ask())
                 .setThousandths(l.thousandths())));
+        SiteCodec.encode(book, b);
         return b.build().toByteArray();
     }
 
@@ -363,6 +392,7 @@
                 new Ticket(t.getNumber(), t.getTarget(), t.getZone(), t.getBy(), t.getLet())));
         s.getWishList().forEach(w -> d.wishes.put(w.getBy(), new Wish(w.getAsk(), w.getThousandths())));
         s.getLoanList().forEach(l -> d.loans.put(l.getNumber(), new Loan(l.getTo(), l.getAsk(), l.getThousandths())));
+        SiteCodec.decode(s, d.book);
         return d;
     }
 }
--- a/src/main/java/pewtercourse/experiment/Experiments.java
+++ b/src/main/java/pewtercourse/experiment/Experiments.java
@@ -16,6 +16,11 @@
         System.out.print(table);
     }
 
+    /** {@code sites}: the loss of a site and its return, several ways, over seeds. */
+    public static void sites(Path into, int seeds) throws Exception {
+        SitesExperiment.run(into, seeds);
+    }
+
     /** {@code duties}: how duties change hands, what the log does, how budgets are used; files go into {@code into}. */
     public static void duties(Path into, int seeds) throws Exception {
         DutiesExperiment.run(into, seeds);
--- /dev/null
+++ b/src/main/java/pewtercourse/experiment/SitesSim.java
@@ -0,0 +1,763 @@
+package pewtercourse.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.apache.commons.math3.distribution.LogNormalDistribution;
+import org.apache.commons.math3.distribution.ZipfDistribution;
+import org.apache.commons.math3.random.RandomGenerator;
+import org.apache.commons.math3.random.Well19937c;
+import pewtercourse.cache.End;
+import pewtercourse.decision.Logic;
+import pewtercourse.decision.Router;
+import pewtercourse.emulator.CacheModel;
+import pewtercourse.emulator.UpstreamModel;
+import pewtercourse.site.Book;
+import pewtercourse.site.Guests;
+import pewtercourse.site.Health;
+import pewtercourse.site.Keeper;
+import pewtercourse.site.Plan;
+import pewtercourse.site.Planner;
+import pewtercourse.site.Sight;
+import pewtercourse.site.Sights;
+import pewtercourse.site.Site;
+import pewtercourse.site.Sites;
+import pewtercourse.site.Status;
+
+/**
+ * Several sites on a virtual clock: the real decision module and the real parts that keep sites, around modelled caches,
+ * links and clients in open loop. The same seed plays the same.
+ */
+final class SitesSim {
+    /** What is done about a lost site. */
+    enum Way {
+        /** Nothing: each site's clients are its own. */
+        ALONE,
+        /** The nearest taker gets all, without a bound, and all comes back at once. */
+        NEAREST,
+        /** All takers, by what they bear, without a bound, and all comes back at once. */
+        PROPORTIONAL,
+        /** As built. */
+        PLANNED,
+        /** As built, but a loss is known in the instant in which it happens: what could be had at most. */
+        SEEING
+    }
+
+    /** What goes wrong. */
+    enum Trouble { ONE, TWO, WHOLE, FLAPS, SEEN_BY_HALF, CACHES_VANISH, SLOW, TAKER_TOO, COPIES_VOID, SCAN, OVERSIZED, LIST_SHRINKS }
+
+    /** Faults of the program itself, to see that checks find them. */
+    enum Planted { NONE, RETURNS_AT_ONCE, NO_BOUND }
+
+    static final long MS = 1_000, SECOND = 1_000_000;
+    private static final long LOST_AT = 20 * SECOND, BACK_AT = 38 * SECOND, END = 90 * SECOND;
+    private static final int SITES = 5, CACHES = 4, OBJECTS = 3_000;
+    private static final double BEARS = 5; // Of one cache.
+    // What its operators say that a site bears is what it serves in time, fills among it; and what it lends of the rest.
+    private static final double IN_TIME = 0.85, LENDS = 0.5;
+    private static final CacheModel.Settings CACHE = new CacheModel.Settings(BEARS, 2.5, 700, 0.23, 16 * SECOND, 2, 1_500 * MS);
+    private static final UpstreamModel.Settings UPSTREAM = new UpstreamModel.Settings(8, 0.75, 45 * MS, 60 * MS, 4);
+    private static final long AGREED_IN = 6 * MS, TICK = 20 * MS, TAKEN_OVER_IN = 1_300 * MS;
+    private static final Router.RequestClass[] CLASSES = {
+        new Router.RequestClass(Router.Effect.PURE, Router.Group.ALL, 0, 600 * MS, 2, 5 * SECOND, false, 0, false, false),
+        new Router.RequestClass(Router.Effect.PURE, Router.Group.ALL, 0, 400 * MS, 2, 3 * SECOND, false, 8 * SECOND, false, false),
+        new Router.RequestClass(Router.Effect.SIDE_EFFECT, Router.Group.ALL, 0, 600 * MS, 0, 3 * SECOND, false, 0, false, true)};
+    private static final double[] WORTH = {2, 1, 3}, SHARE = {0.54, 0.97, 1.0}, MEAN_WORK = {300 * MS, 50 * MS, 30 * MS};
+    private static final double PACE = 1; // KB for a millisecond of work.
+
+    private record Event(long at, long order, Runnable run) { }
+
+    /** What became of one client's request. */
+    static final class Asked {
+        final int site, cls;
+        final long at, work, object, expires;
+        long id;
+        int attempts, effects;
+        boolean answered, served;
+        long answeredAt;
+
+        Asked(int site, int cls, long at, long work, long object) {
+            this.site = site;
+            this.cls = cls;
+            this.at = at;
+            this.work = work;
+            this.object = object;
+            this.expires = at + CLASSES[cls].deadline();
+        }
+
+        long aim() {
+            return CLASSES[cls].aim() + (long) (CLASSES[cls].aimStretch() * work);
+        }
+
+        boolean inTime() {
+            return served && answeredAt - at <= aim();
+        }
+    }
+
+    private final class Cache {
+        final long id;
+        final int site;
+        final CacheModel model = new CacheModel(CACHE);
+        int life; // What was out when it died never ends.
+
+        Cache(long id, int site) {
+            this.id = id;
+            this.site = site;
+        }
+    }
+
+    private final class Desk {
+        final Director of;
+        final Router router;
+
+        Desk(Director of, Router router) {
+            this.of = of;
+            this.router = router;
+        }
+
+        void tell(Router.Event e) {
+            if (of.up) {
+                router.handle(now, List.of(e)).forEach(this::act);
+            }
+        }
+
+        private void act(Router.Action a) {
+            if (a instanceof Router.Timer t) {
+                int life = of.life;
+                at(t.at(), () -> {
+                    if (of.life == life) {
+                        tell(new Router.TimerDue(t.name()));
+                    }
+                });
+            } else if (a instanceof Router.Send s) {
+                of.send(this, s);
+            } else if (a instanceof Router.Cancel c) {
+                of.cancel(this, c);
+            } else if (a instanceof Router.Refuse r) {
+                of.end(r.id(), false);
+                if (this == of.home) {
+                    of.sights.refused(now);
+                }
+            } else if (a instanceof Router.Fail f) {
+                of.end(f.id(), false);
+            }
+        }
+    }
+
+    private final class Director {
+        final int site;
+        final String name;
+        final Map<Long, Asked> open = new HashMap<>();
+        final Map<Long, long[]> out = new HashMap<>(); // By request: its attempt's number, a mark and its cache.
+        Guests guests;
+        Sights sights;
+        Keeper keeper;
+        Desk home;
+        Map<Integer, Desk> abroad = new TreeMap<>();
+        boolean up = true;
+        int life;
+
+        Director(int site) {
+            this.site = site;
+            this.name = "d" + site;
+            start();
+        }
+
+        void start() {
+            life++;
+            up = true;
+            open.clear();
+            out.clear();
+            abroad.clear();
+            guests = new Guests(sites, siteName(site), 500 * MS, random.nextLong());
+            sights = new Sights(siteName(site));
+            keeper = new Keeper(sites);
+            home = new Desk(this, new Logic(settings(site), random.nextLong()));
+            home.tell(listed());
+            int mine = life;
+            at(now + random.nextInt((int) SECOND), () -> report(mine));
+        }
+
+        private void report(int mine) {
+            if (!up || life != mine) {
+                return;
+            }
+            Map<String, Integer> ready = new TreeMap<>();
+            listedReady.forEach(c -> ready.merge(siteName(c.site), 1, Integer::sum));
+            Map<String, Sight> told = sights.told(now, sites, ready, Map.of("hub", 2));
+            agree(() -> directors.forEach(d -> {
+                if (d.up) {
+                    d.keeper.detector().see(now, name, told);
+                }
+            }));
+            at(now + SECOND, () -> report(mine));
+        }
+
+        private Router.Listed listed() {
+            List<Router.Member> list = new ArrayList<>();
+            listedReady.forEach(c -> list.add(new Router.Member(c.id, c.site, Router.Role.CACHE, 0, Router.State.READY, 1,
+                    c.model.startedAt())));
+            list.add(new Router.Member(900, SITES, Router.Role.PARENT, 0, Router.State.READY, 1, 0));
+            list.add(new Router.Member(901, SITES, Router.Role.PARENT, 0, Router.State.READY, 1, 0));
+            list.add(new Router.Member(999, SITES, Router.Role.ORIGIN, 0, Router.State.READY, 1, 0));
+            return new Router.Listed(Router.ListKind.WHOLE, list);
+        }
+
+        void relist() {
+            home.tell(listed());
+            abroad.values().forEach(d -> d.tell(listed()));
+            guests.listed(listedReady.stream().anyMatch(c -> c.site == site));
+        }
+
+        void arrive(Asked q) {
+            q.id = nextId++;
+            open.put(q.id, q);
+            int life0 = life;
+            at(q.expires - 40 * MS, () -> {
+                if (life == life0 && open.containsKey(q.id)) {
+                    overdue++;
+                    end(q.id, false);
+                }
+            });
+            sights.asked(now, q.work);
+            boolean must = CLASSES[q.cls].effect() == Router.Effect.SIDE_EFFECT;
+            Guests.Choice c = guests.choose(now, new Guests.Ask(q.object, WORTH[q.cls], q.work, CLASSES[q.cls].aim(), q.expires,
+                    q.work, must, false));
+            if (c.site() == null) {
+                shed++;
+                end(q.id, false);
+                return;
+            }
+            int to = Integer.parseInt(c.site().substring(1));
+            if (to != site) {
+                crossed++;
+            }
+            Desk desk = to == site ? home : abroad.computeIfAbsent(to, t -> {
+                Desk d = new Desk(this, new Logic(settings(site).guest(t, CLASSES), random.nextLong()));
+                d.tell(new Router.Parted(0));
+                d.tell(listed());
+                return d;
+            });
+            desk.tell(new Router.Request(q.id, q.cls, Long.toHexString(q.object), 0, 0, q.work / (double) MS * PACE,
+                    q.expires - 100 * MS, false, CLASSES[q.cls].goesThrough()));
+        }
+
+        void send(Desk desk, Router.Send s) {
+            Asked q = open.get(s.id());
+            if (q == null) {
+                return;
+            }
+            int number = q.attempts++;
+            long began = now, mark = ++marks;
+            out.put(s.id(), new long[] {number, mark, s.member()});
+            Cache c = byId.get(s.member());
+            boolean unreached = cutFrom.contains(site * 100 + c.site);
+            boolean fills = s.source() != s.member();
+            CacheModel.Answer a = unreached ? new CacheModel.Answer(CacheModel.Verdict.DOWN, 0, 0)
+                    : c.model.ask(now, q.object, q.work, fills, desk == home ? s.keep() : Math.min(1, s.keep()), s.maxAge());
+            boolean silent = unreached || c.model.up() == false && vanished.contains(c.site);
+            int cacheLife = c.life;
+            long slow = slowSite == c.site ? 3 : 1;
+            long until = s.timeout() > 0 ? Math.min(q.expires - 40 * MS, now + s.timeout()) : q.expires - 40 * MS;
+            switch (a.verdict()) {
+                case DOWN -> ended(desk, s, number, mark, began, now + (silent ? 400 * MS : MS),
+                        silent ? End.CONNECT_TIMEOUT : End.REFUSED, Router.Note.NONE);
+                case FULL -> ended(desk, s, number, mark, began, now + MS, End.FULL, Router.Note.NONE);
+                case MISS -> ended(desk, s, number, mark, began, now + MS, End.MISS, Router.Note.NONE);
+                default -> {
+                    if (CLASSES[q.cls].goesThrough()) {
+                        q.effects++;
+                    }
+                    boolean fill = a.verdict() == CacheModel.Verdict.FILL;
+                    UpstreamModel.Fill up = fill ? upstream[c.site].begin(q.object, CLASSES[q.cls].goesThrough()) : null;
+                    long filling = fill ? up.takes() + q.work / 3 : 0;
+                    long at = now + slow * (a.takes() + filling) + (c.site == site ? 0 : 8 * MS);
+                    at(Math.min(at, until), () -> {
+                        if (c.life == cacheLife) {
+                            c.model.done();
+                        }
+                        if (fill) {
+                            upstream[c.site].end(up);
+                        }
+                    });
+                    if (at > until) {
+                        ended(desk, s, number, mark, began, until, End.TIMEOUT, Router.Note.NONE);
+                    } else {
+                        at(at, () -> {
+                            boolean died = c.life != cacheLife;
+                            close(desk, s, number, mark, began, died ? End.RESET : End.SERVED,
+                                    died ? Router.Note.NONE : fill ? Router.Note.FILLED : Router.Note.HIT);
+                        });
+                    }
+                }
+            }
+        }
+
+        private void ended(Desk desk, Router.Send s, int number, long mark, long began, long at, End end, Router.Note note) {
+            at(at, () -> close(desk, s, number, mark, began, end, note));
+        }
+
+        private void close(Desk desk, Router.Send s, int number, long mark, long began, End end, Router.Note note) {
+            long[] is = out.get(s.id());
+            if (is == null || is[1] != mark) {
+                return;
+            }
+            out.remove(s.id());
+            Asked q = open.get(s.id());
+            boolean over = q == null;
+            Cache c = byId.get(s.member());
+            if (q != null) {
+                sights.ended(now, siteName(c.site), end, now - began > q.aim());
+                if (end == End.SERVED) {
+                    end(s.id(), true);
+                    over = true;
+                }
+            }
+            Router.Ending ending = switch (end) {
+                case SERVED -> Router.Ending.OK;
+                case MISS -> Router.Ending.MISS;
+                case FULL -> Router.Ending.FULL;
+                case REFUSED, CONNECT_TIMEOUT -> Router.Ending.CONNECT_FAILED;
+                case RESET -> Router.Ending.RESET;
+                case CANCELLED -> Router.Ending.CANCELLED;
+                default -> Router.Ending.TIMEOUT;
+            };
+            desk.tell(new Router.Outcome(s.id(), number, s.member(), ending, now - began, over, note));
+        }
+
+        void cancel(Desk desk, Router.Cancel c) {
+            long[] is = out.get(c.id());
+            if (is != null && is[0] == c.attempt()) {
+                // The module hears of it as of any end, in the next instant.
+                Asked q = open.get(c.id());
+                long mark = is[1];
+                at(now, () -> {
+                    long[] still = out.get(c.id());
+                    if (still != null && still[1] == mark) {
+                        out.remove(c.id());
+                        desk.tell(new Router.Outcome(c.id(), (int) still[0], still[2], Router.Ending.CANCELLED, 0, q == null,
+                                Router.Note.NONE));
+                    }
+                });
+            }
+        }
+
+        void end(long id, boolean served) {
+            Asked q = open.remove(id);
+            if (q != null && !q.answered) {
+                q.answered = true;
+                q.served = served;
+                q.answeredAt = now;
+            } else if (q != null) {
+                trouble = "two answers";
+            }
+        }
+    }
+
+    final Way way;
+    final Trouble kind;
+    final Sites sites;
+    final List<Asked> asked = new ArrayList<>();
+    final Map<Long, Integer> phases = new TreeMap<>();
+    private final Planted planted;
+    private final Random random;
+    private final RandomGenerator draws;
+    private final LogNormalDistribution[] sizes = new LogNormalDistribution[2];
+    private final ZipfDistribution popularity;
+    private final PriorityQueue<Event> queue = new PriorityQueue<>((a, b) -> a.at() != b.at()
+            ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private final List<Cache> caches = new ArrayList<>();
+    private final Map<Long, Cache> byId = new HashMap<>();
+    private final List<Cache> listedReady = new ArrayList<>();
+    private final List<Director> directors = new ArrayList<>();
+    private final Set<Integer> vanished = new HashSet<>(), cutFrom = new HashSet<>();
+    private final UpstreamModel[] upstream = new UpstreamModel[SITES];
+    private final double[] load = new double[SITES];
+    private Book book = new Book();
+    private int keeper;
+    long now, nextId = 1, entry, shed, crossed, overdue, declaredAt = -1, wholeAt = -1, falseAlarms;
+    private long order, marks, keeperFrom;
+    private int slowSite = -1;
+    String trouble;
+
+    SitesSim(long seed, Way way, Trouble kind, Planted planted) {
+        this.way = way;
+        this.kind = kind;
+        this.planted = planted;
+        this.random = new Random(seed);
+        this.draws = new Well19937c(seed);
+        this.popularity = new ZipfDistribution(draws, OBJECTS, 0.9);
+        for (int i = 0; i < 2; i++) {
+            double sigma = 0.6;
+            sizes[i] = new LogNormalDistribution(draws, Math.log(MEAN_WORK[i]) - sigma * sigma / 2, sigma);
+        }
+        TreeMap<String, Site> all = new TreeMap<>();
+        for (int i = 0; i < SITES; i++) {
+            load[i] = (0.5 + 0.2 * random.nextDouble()) * BEARS * CACHES;
+        }
+        for (int i = 0; i < SITES; i++) {
+            List<Site.Taker> takers = new ArrayList<>();
+            for (int d = 1; d < SITES; d++) {
+                int step = Math.min(d, SITES - d);
+                takers.add(new Site.Taker(siteName((i + d) % SITES), step));
+            }
+            takers.sort((a, b) -> Double.compare(a.distance(), b.distance()));
+            all.put(siteName(i), new Site(siteName(i), "hub", Set.of("d" + i), IN_TIME * BEARS * CACHES, LENDS, 0.5, 0, takers));
+        }
+        boolean steps = way == Way.PLANNED || way == Way.SEEING;
+        this.sites = new Sites(all, 0.5, new Sites.Timing(1_500 * MS, 2 * SECOND, 120 * SECOND, 1_500 * MS,
+                steps && planted != Planted.RETURNS_AT_ONCE ? List.of(0.15, 0.3, 0.5, 0.75, 1.0) : List.of(1.0), 3 * SECOND));
+        for (int s = 0; s < SITES; s++) {
+            upstream[s] = new UpstreamModel(UPSTREAM); // The part of it that this site's link and hub have.
+            for (int c = 0; c < CACHES; c++) {
+                Cache x = new Cache(1 + s * 10 + c, s);
+                caches.add(x);
+                byId.put(x.id, x);
+                listedReady.add(x);
+            }
+        }
+        for (int s = 0; s < SITES; s++) {
+            directors.add(new Director(s));
+        }
+        keeper = kind == Trouble.WHOLE ? 0 : random.nextInt(SITES);
+        for (int s = 0; s < SITES; s++) {
+            ask(s);
+        }
+        at(TICK, this::keep);
+        script();
+    }
+
+    private static String siteName(int i) {
+        return "s" + i;
+    }
+
+    private static Router.Settings settings(int site) {
+        int[] seats = new int[SITES + 1];
+        java.util.Arrays.fill(seats, 0, SITES, 1);
+        return new Router.Settings(site, SITES, site, seats, CLASSES, PACE * 1_000, 0, true, false, false, false, true, 500 * MS, 6,
+                true, false, Router.Siblings.OWN_ZONE, Router.Notes.HITS, new Router.ColdRule(0.23, 16 * SECOND, 2),
+                new Router.ColdRule(0.065, 21 * SECOND, 2), 1_500 * MS, 6 * SECOND);
+    }
+
+    void at(long time, Runnable run) {
+        queue.add(new Event(Math.max(now, time), order++, run));
+    }
+
+    private void agree(Runnable then) {
+        at(now + AGREED_IN, then);
+    }
+
+    // ---- Clients: in open loop, their own site's director, or another's where that is dead ----
+
+    private void ask(int site) {
+        double busy = 1 + 0.15 * Math.sin(now / 1e6 / 90 * Math.PI); // The busiest minute is in the middle.
+        double meanWork = SHARE[0] * MEAN_WORK[0] + (SHARE[1] - SHARE[0]) * MEAN_WORK[1] + (1 - SHARE[1]) * MEAN_WORK[2];
+        double perS = load[site] / 1.12 * busy / meanWork * 1e6;
+        at(now + (long) (-Math.log(1 - random.nextDouble()) / perS * 1e6), () -> {
+            double u = random.nextDouble();
+            int cls = u < SHARE[0] ? 0 : u < SHARE[1] ? 1 : 2;
+            long work = cls == 2 ? (long) MEAN_WORK[2] : (long) Math.min(3e6, Math.max(5e3, sizes[cls].sample()));
+            long object = Guests.hash(cls == 2 ? "o" + nextId : cls + "/" + popularity.sample());
+            boolean odd = now > LOST_AT && now < BACK_AT + 10 * SECOND && cls == 0;
+            if (kind == Trouble.SCAN && odd && random.nextDouble() < 0.2) {
+                object = random.nextLong(); // Wanted once.
+            } else if (kind == Trouble.OVERSIZED && odd && random.nextDouble() < 0.02) {
+                work = 12 * work;
+                object = Guests.hash("large" + random.nextInt(5));
+            }
+            Asked q = new Asked(site, cls, now, work, object);
+            asked.add(q);
+            Director d = directors.get(site);
+            for (int i = 1; !d.up && i < SITES; i++) {
+                d = directors.get((site + i) % SITES);
+            }
+            if (d.up) {
+                d.arrive(q);
+            }
+            ask(site);
+        });
+    }
+
+    // ---- The keeper of the sites ----
+
+    private void keep() {
+        at(now + TICK, this::keep);
+        if (!directors.get(keeper).up) {
+            for (int i = 0; i < SITES; i++) {
+                if (directors.get(i).up) {
+                    keeper = i;
+                }
+            }
+            keeperFrom = now + TAKEN_OVER_IN;
+        }
+        Director d = directors.get(keeper);
+        if (way == Way.ALONE || now < keeperFrom || !d.up) {
+            return;
+        }
+        Set<String> absent = new TreeSet<>();
+        directors.forEach(x -> {
+            if (!x.up) {
+                absent.add(x.name);
+            }
+        });
+        for (Keeper.Declaration o : d.keeper.orders(now, book, absent)) {
+            if (way != Way.SEEING || o.phase() == Status.Phase.RETURNING || o.phase() == Status.Phase.WHOLE) {
+                declare(o);
+            }
+        }
+        Keeper.Question q = d.keeper.question(now, book);
+        if (q != null) {
+            Plan plan = plan(q);
+            d.keeper.answered(now, plan);
+            Plan changed = d.keeper.planned(book);
+            if (changed != null) {
+                agree(() -> {
+                    book.plan(changed);
+                    follow();
+                });
+            }
+        }
+    }
+
+    private void declare(Keeper.Declaration o) {
+        agree(() -> {
+            if (book.declare(++entry, o.site(), o.phase(), o.health(), o.step(), o.flaps(), o.after())) {
+                boolean lost = o.phase() == Status.Phase.LOST;
+                boolean dead = caches.stream().filter(c -> siteName(c.site).equals(o.site())).noneMatch(c -> c.model.up());
+                if (lost && declaredAt < 0) {
+                    declaredAt = now;
+                }
+                falseAlarms += lost && !dead && o.flaps() == 0 ? 1 : 0;
+                if (o.phase() == Status.Phase.WHOLE && declaredAt >= 0) {
+                    wholeAt = now;
+                }
+                follow();
+            }
+        });
+    }
+
+    private void follow() {
+        directors.forEach(x -> {
+            if (x.up) {
+                x.keeper.see(now, book);
+                x.guests.follow(now, book, 1);
+            }
+        });
+    }
+
+    private Plan plan(Keeper.Question q) {
+        if (way == Way.PLANNED || way == Way.SEEING) {
+            Plan p = new Planner().plan(sites, q.loads(), q.lost(), q.unfit(), q.before());
+            return planted == Planted.NO_BOUND ? unbounded(p, q.lost()) : p;
+        }
+        TreeMap<String, java.util.SortedMap<String, Plan.Shares>> cases = new TreeMap<>();
+        for (String s : sites.sites().keySet()) {
+            Set<String> lost = new TreeSet<>(q.lost());
+            lost.add(s);
+            java.util.SortedMap<String, Plan.Shares> shares = new TreeMap<>();
+            for (String l : lost) {
+                List<Plan.Part> parts = new ArrayList<>();
+                for (Site.Taker t : sites.sites().get(l).takers()) {
+                    if (!lost.contains(t.site()) && (way == Way.PROPORTIONAL || parts.isEmpty())) {
+                        parts.add(new Plan.Part(t.site(), 1, 1e6));
+                    }
+                }
+                shares.put(l, new Plan.Shares(parts, 0));
+            }
+            cases.put(String.join("+", lost), shares);
+        }
+        return new Plan(cases);
+    }
+
+    private static Plan unbounded(Plan p, Set<String> lost) {
+        TreeMap<String, java.util.SortedMap<String, Plan.Shares>> cases = new TreeMap<>();
+        p.cases().forEach((k, c) -> {
+            java.util.SortedMap<String, Plan.Shares> shares = new TreeMap<>();
+            c.forEach((s, x) -> shares.put(s, new Plan.Shares(x.parts().stream()
+                    .map(y -> new Plan.Part(y.site(), y.work(), 1e6)).toList(), x.refused())));
+            cases.put(k, shares);
+        });
+        return new Plan(cases);
+    }
+
+    // ---- What goes wrong ----
+
+    private void script() {
+        int other = 1 + random.nextInt(SITES - 1);
+        switch (kind) {
+            case ONE -> lose(0, LOST_AT, BACK_AT, false);
+            case TWO -> {
+                lose(0, LOST_AT, BACK_AT, false);
+                lose(other, LOST_AT + 4 * SECOND, BACK_AT + 3 * SECOND, false);
+            }
+            case WHOLE -> lose(0, LOST_AT, BACK_AT, true);
+            case FLAPS -> {
+                lose(0, LOST_AT, BACK_AT, false);
+                lose(0, BACK_AT + 6 * SECOND, BACK_AT + 12 * SECOND, false);
+            }
+            case SEEN_BY_HALF -> {
+                // Only directors of other sites lose sight of it: nothing is to be declared.
+                at(LOST_AT, () -> {
+                    cutFrom.add(100 + 0);
+                    cutFrom.add(200 + 0);
+                });
+                at(BACK_AT, cutFrom::clear);
+            }
+            case CACHES_VANISH -> {
+                vanished.add(0);
+                lose(0, LOST_AT, BACK_AT, false);
+            }
+            case SLOW -> {
+                at(LOST_AT, () -> slowSite = 0);
+                at(BACK_AT, () -> slowSite = -1);
+            }
+            case COPIES_VOID -> {
+                lose(0, LOST_AT, BACK_AT, false);
+                at(BACK_AT + 7 * SECOND, () -> caches.forEach(c -> c.model.voidAll()));
+            }
+            case SCAN, OVERSIZED -> lose(0, LOST_AT, BACK_AT, false);
+            case LIST_SHRINKS -> {
+                // For some seconds half of a site that is well is missing from all lists; then another is lost.
+                at(LOST_AT - 12 * SECOND, () -> {
+                    listedReady.removeIf(c -> c.site == 2 && c.id % 2 == 0);
+                    directors.forEach(Director::relist);
+                });
+                at(LOST_AT - 8 * SECOND, () -> listAsIs(2, true));
+                lose(0, LOST_AT, BACK_AT, false);
+            }
+            default -> {
+                lose(0, LOST_AT, BACK_AT, false);
+                lose(1, LOST_AT + 8 * SECOND, BACK_AT, false); // Its nearest taker, while it bears the other's load.
+            }
+        }
+    }
+
+    private void lose(int site, long from, long to, boolean directorToo) {
+        at(from, () -> {
+            each(site, c -> {
+                c.model.kill();
+                c.life++;
+            });
+            if (directorToo) {
+                Director d = directors.get(site);
+                d.up = false;
+                d.life++;
+                d.open.clear();
+            }
+            if (way == Way.SEEING) {
+                book.declare(++entry, siteName(site), Status.Phase.LOST, Health.CACHES, 0, 0, book.status(siteName(site)).entry());
+                declaredAt = declaredAt < 0 ? now : declaredAt;
+                follow();
+            }
+        });
+        at(from + 2 * SECOND + random.nextInt((int) (2 * SECOND)), () -> list(site, false));
+        at(to, () -> {
+            each(site, c -> {
+                c.model.start(now);
+                c.life++;
+            });
+            if (directorToo) {
+                directors.get(site).start();
+                follow();
+            }
+        });
+        at(to + SECOND + random.nextInt((int) SECOND), () -> list(site, true));
+    }
+
+    private void each(int site, java.util.function.Consumer<Cache> then) {
+        caches.stream().filter(c -> c.site == site).forEach(then);
+    }
+
+    private void list(int site, boolean ready) {
+        boolean alive = caches.stream().anyMatch(c -> c.site == site && c.model.up());
+        if (alive != ready) {
+            return; // It came back, or went, before the list told.
+        }
+        listAsIs(site, ready);
+    }
+
+    private void listAsIs(int site, boolean ready) {
+        each(site, c -> {
+            listedReady.remove(c);
+            if (ready) {
+                listedReady.add(c);
+            }
+        });
+        listedReady.sort((a, b) -> Long.compare(a.id, b.id));
+        directors.forEach(d -> {
+            if (d.up) {
+                d.relist();
+            }
+        });
+    }
+
+    // ---- What came of it ----
+
+    SitesSim play() {
+        while (!queue.isEmpty() && queue.peek().at() <= END && trouble == null) {
+            Event e = queue.poll();
+            now = e.at();
+            e.run().run();
+        }
+        return this;
+    }
+
+    int falls() {
+        return caches.stream().mapToInt(c -> c.model.falls()).sum();
+    }
+
+    int effectsTwice() {
+        return (int) asked.stream().filter(q -> q.effects > 1).count();
+    }
+
+    /** Requests of living directors that got no answer in their time. */
+    long unanswered() {
+        return asked.stream().filter(q -> !q.answered && q.id > 0 && q.expires < END).count() - abandoned();
+    }
+
+    // Those that a dying director held.
+    private long abandoned() {
+        return kind != Trouble.WHOLE ? 0 : asked.stream().filter(q -> !q.answered && q.id > 0 && q.expires < END && q.site == 0
+                && q.at < LOST_AT).count();
+    }
+
+    /** Worth answered in time over worth asked for, of requests in this time, of one site or (-1) all. */
+    double served(long from, long to, int site) {
+        double got = 0, all = 0;
+        for (Asked q : asked) {
+            if (q.at >= from && q.at < to && (site < 0 || q.site == site)) {
+                all += WORTH[q.cls];
+                got += q.inTime() ? WORTH[q.cls] : 0;
+            }
+        }
+        return all == 0 ? 1 : got / all;
+    }
+
+    /** The worst ten seconds of the incident, of all sites. */
+    double worst(long from, long to) {
+        double worst = 1;
+        for (long t = from; t + 10 * SECOND <= to; t += SECOND) {
+            worst = Math.min(worst, served(t, t + 10 * SECOND, -1));
+        }
+        return worst;
+    }
+
+    static long lostAt() {
+        return LOST_AT;
+    }
+
+    static long backAt() {
+        return BACK_AT;
+    }
+
+    static long incidentEnds() {
+        return END - 10 * SECOND;
+    }
+}
--- a/src/test/java/pewtercourse/cluster/Fleet.java
+++ b/src/test/java/pewtercourse/cluster/Fleet.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /** Some directors as processes of the program, a relay on each link between two of them. */
@@ -39,6 +40,7 @@
     final Path folder;
     final int size;
     final List<Member> members = new ArrayList<>();
+    final Map<String, String> environment = new ConcurrentHashMap<>(); // Of each member, besides the usual.
     final Queue<String> log = new ConcurrentLinkedQueue<>(); // Several readers add while a test looks.
     private final Vertx vertx = Vertx.vertx();
     private final Map<String, Relay> links = new ConcurrentHashMap<>();
@@ -74,6 +76,7 @@
             b.environment().put("GW_CONFIG", folder.resolve("config-" + name + ".json").toString());
             b.environment().put("GW_CLUSTER", config.toString());
             b.environment().put("GW_ADMIN_ADDR", HOST + ":" + admin);
+            b.environment().putAll(environment);
             b.environment().remove("TMPDIR"); // There two processes of one director leave word for one another.
             process = b.start();
             Process started = process;
@@ -117,6 +120,17 @@
             return said("/maintenance/exit", target);
         }
 
+        /** What is agreed on a site, or null. */
+        JsonObject site(String name) {
+            try {
+                String s = call("GET /sites/status", "");
+                return s.startsWith("HTTP/1.1 200") ? new JsonObject(s.substring(s.indexOf("\r\n\r\n") + 4)).getJsonArray("sites")
+                        .stream().map(o -> (JsonObject) o).filter(o -> o.getString("site").equals(name)).findFirst().orElse(null) : null;
+            } catch (IOException | RuntimeException e) {
+                return null;
+            }
+        }
+
         private boolean said(String path, String target) {
             try {
                 return call("POST " + path, "{\"target\":\"" + target + "\"}").startsWith("HTTP/1.1 200");
@@ -202,6 +216,13 @@
         Files.writeString(folder.resolve("config-" + m.name + ".json"), config.encode());
     }
 
+    /** Other director's configurations than the usual one. */
+    void configure(Function<Member, JsonObject> config) throws IOException {
+        for (Member m : members) {
+            Files.writeString(folder.resolve("config-" + m.name + ".json"), config.apply(m).encode());
+        }
+    }
+
     void found() throws Exception {
         for (Member m : members) {
             found(m);
