Log and count what the slow-start budget allows, uses and refuses

New: slow_start.began, .exhausted and .ended with the start as listed and as used, the budget and the part in use; the same as metrics for each endpoint in slow start; and given_up.REASON, why a request was rejected or failed.

--- a/src/main/java/pewtercourse/decision/RequestDispatcher.java
+++ b/src/main/java/pewtercourse/decision/RequestDispatcher.java
@@ -1,6 +1,8 @@
 package pewtercourse.decision;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Random;
@@ -20,6 +22,7 @@
     private final RoutingParts parts;
     private final RetryBudget retries = new RetryBudget();
     private final Map<Long, RequestState> requests = new LinkedHashMap<>();
+    private final Map<GiveUpReason, Long> givenUp = new EnumMap<>(GiveUpReason.class);
 
     RequestDispatcher(RoutingContext context, ActionBuffer actions, Random random, RoutingParts parts) {
         this.context = context;
@@ -28,6 +31,11 @@
         this.parts = parts;
     }
 
+    /** Number of requests given up so far, for each reason. */
+    Map<GiveUpReason, Long> givenUp() {
+        return Collections.unmodifiableMap(givenUp);
+    }
+
     /** Registers a new request. Returns false if a request with the same id is in progress. */
     boolean register(RequestState request) {
         if (requests.putIfAbsent(request.id(), request) != null) {
@@ -42,16 +50,21 @@
         if (request.finished || request.streaming) {
             return;
         }
-        if (context.now() + (long) request.transferTime > request.arrival.expiresAt()
-                || request.attempts.size() >= context.settings().retry().maxAttempts()) {
-            giveUp(request);
+        if (context.now() + (long) request.transferTime > request.arrival.expiresAt()) {
+            giveUp(request, GiveUpReason.DEADLINE);
             return;
         }
+        if (request.attempts.size() >= context.settings().retry().maxAttempts()) {
+            giveUp(request, GiveUpReason.ATTEMPTS);
+            return;
+        }
+        long slowStartRefusals = parts.slowStart().refusals();
         EndpointState cache = parts.cacheSelector().select(request);
         if (cache != null) {
             sendTo(cache, request);
         } else {
-            bypassCaches(request);
+            boolean limitedBySlowStart = parts.slowStart().refusals() > slowStartRefusals;
+            bypassCaches(request, limitedBySlowStart ? GiveUpReason.SLOW_START : GiveUpReason.NO_ENDPOINT);
         }
     }
 
@@ -72,7 +85,7 @@
 
     // Handles a request for which no cache may be used. If allowed, it goes directly to a parent while no cache
     // is listed.
-    private void bypassCaches(RequestState request) {
+    private void bypassCaches(RequestState request, GiveUpReason reasonWithoutCache) {
         boolean allowed = context.settings().features().cacheBypassAllowed()
                 && parts.endpoints().caches().isEmpty()
                 && fillsAdmit(request);
@@ -81,7 +94,7 @@
             EndpointState origin = parts.endpoints().origin();
             parts.sender().send(request, parent, origin != null ? origin : parent, false);
         } else {
-            giveUp(request);
+            giveUp(request, reasonWithoutCache);
         }
     }
 
@@ -132,13 +145,9 @@
         }
         boolean exemptFromBudget =
                 outcome == AttemptOutcome.MISS || attempt.fromSibling && outcome == AttemptOutcome.OVERLOADED;
-        boolean requestUnusable = request.suspectedCaches.size() > 1;
-        boolean fillBlocked = attempt.hasNoFill() && !fillsAdmit(request);
-        if (hasWaitedTooLongUnreached(request, attempt)
-                || requestUnusable
-                || !exemptFromBudget && !retries.hasRetry()
-                || fillBlocked) {
-            giveUp(request);
+        GiveUpReason reason = reasonNotToRetry(request, attempt, exemptFromBudget);
+        if (reason != null) {
+            giveUp(request, reason);
             return;
         }
         if (!exemptFromBudget) {
@@ -147,6 +156,20 @@
         advance(request);
     }
 
+    // Null if the request may be retried.
+    private GiveUpReason reasonNotToRetry(RequestState request, AttemptState attempt, boolean exemptFromBudget) {
+        if (hasWaitedTooLongUnreached(request, attempt)) {
+            return GiveUpReason.UNREACHED;
+        }
+        if (request.suspectedCaches.size() > 1) {
+            return GiveUpReason.UNUSABLE_REQUEST;
+        }
+        if (!exemptFromBudget && !retries.hasRetry()) {
+            return GiveUpReason.RETRY_BUDGET;
+        }
+        return attempt.hasNoFill() && !fillsAdmit(request) ? GiveUpReason.FILL_LIMIT : null;
+    }
+
     // Whether no cache was reached and another attempt of this duration would end after the first half of the
     // client's waiting time.
     private boolean hasWaitedTooLongUnreached(RequestState request, AttemptState attempt) {
@@ -158,10 +181,11 @@
     // Gives the final answer as soon as no attempt is left. The client is advised when to retry, even if it is
     // unknown whether clients follow the advice: those that do retry at different times and within their
     // objective, the others lose nothing.
-    private void giveUp(RequestState request) {
+    private void giveUp(RequestState request, GiveUpReason reason) {
         if (request.attemptsInFlight > 0) {
             return;
         }
+        givenUp.merge(reason, 1L, Long::sum);
         actions.add(
                 request.isHarmlessToReject()
                         ? new RejectRequest(request.id(), retryAfter(request))
--- a/src/main/java/pewtercourse/decision/RoutingEngine.java
+++ b/src/main/java/pewtercourse/decision/RoutingEngine.java
@@ -1,5 +1,6 @@
 package pewtercourse.decision;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 
@@ -46,8 +47,13 @@
 
     @Override
     public RouterStatus status() {
+        List<EndpointState> endpoints = new ArrayList<>(parts.endpoints().caches());
+        endpoints.addAll(parts.endpoints().parents());
         return new RouterStatus(
-                parts.endpoints().countEjected(), parts.slowStart().wasExhausted());
+                parts.endpoints().countEjected(),
+                parts.slowStart().wasExhausted(),
+                parts.slowStart().status(endpoints),
+                dispatcher.givenUp());
     }
 
     private void start() {
--- a/src/main/java/pewtercourse/decision/SlowStartBudget.java
+++ b/src/main/java/pewtercourse/decision/SlowStartBudget.java
@@ -1,5 +1,7 @@
 package pewtercourse.decision;
 
+import java.util.List;
+
 /**
  * Limits the work sent to an endpoint that has just started. Within any overload window, the endpoint gets at
  * most its current capacity times the allowed overcommit, divided among the routers that may send to it. This
@@ -15,6 +17,7 @@
     private final CapacityEstimate capacity;
     private final TransferTimes transferTimes;
     private double quotaFactor = 1;
+    private long refusals;
     private long lastExhaustedAt = Long.MIN_VALUE / 2;
 
     SlowStartBudget(
@@ -37,13 +40,40 @@
             return true;
         }
         endpoint.slowStartWork.dropUntil(context.now() - window);
-        int sendingRouters = sendingRouters(endpoint);
-        double budget = USED_SHARE * capacityForThisRouter(endpoint, sendingRouters, window) * window;
-        boolean allowed = endpoint.slowStartWork.sum() + transferTimes.mean(request) <= budget;
+        boolean allowed = endpoint.slowStartWork.sum() + transferTimes.mean(request) <= budget(endpoint, window);
         if (!allowed) {
             lastExhaustedAt = context.now();
         }
-        return allowed || isOnTurn(endpoint, sendingRouters, window);
+        if (allowed || isOnTurn(endpoint, sendingRouters(endpoint), window)) {
+            return true;
+        }
+        endpoint.slowStartRefusals++;
+        refusals++;
+        return false;
+    }
+
+    /** How often an endpoint had no room for a request. */
+    long refusals() {
+        return refusals;
+    }
+
+    /** The budgets of those of the given endpoints that are in slow start. */
+    List<SlowStartStatus> status(List<EndpointState> candidates) {
+        long window = context.settings().slowStart().overloadWindow();
+        return candidates.stream()
+                .filter(endpoint -> window > 0 && !ramp.isWarm(endpoint))
+                .map(endpoint -> status(endpoint, window))
+                .toList();
+    }
+
+    private SlowStartStatus status(EndpointState endpoint, long window) {
+        return new SlowStartStatus(
+                endpoint.id(),
+                ramp.capacityShare(endpoint, context.now()),
+                context.now() - endpoint.endpoint().startedAt(),
+                (long) budget(endpoint, window),
+                (long) endpoint.slowStartWork.sumAfter(context.now() - window),
+                endpoint.slowStartRefusals);
     }
 
     void onAttemptSent(EndpointState endpoint, RequestState request) {
@@ -57,6 +87,11 @@
         return context.now() - lastExhaustedAt < context.settings().slowStart().overloadWindow();
     }
 
+    // Work in microseconds that this router may send to the endpoint in a window.
+    private double budget(EndpointState endpoint, long window) {
+        return USED_SHARE * capacityForThisRouter(endpoint, sendingRouters(endpoint), window) * window;
+    }
+
     // Number of routers that may send to the endpoint.
     private int sendingRouters(EndpointState endpoint) {
         return endpoint.is(EndpointRole.PARENT)
--- a/src/main/java/pewtercourse/decision/WorkWindow.java
+++ b/src/main/java/pewtercourse/decision/WorkWindow.java
@@ -25,6 +25,14 @@
         return sent.isEmpty();
     }
 
+    /** The work that was sent after {@code time}; drops nothing. */
+    double sumAfter(long time) {
+        return sent.stream()
+                .filter(work -> work.sentAt() > time)
+                .mapToDouble(Sent::transferTime)
+                .sum();
+    }
+
     double sum() {
         return sum;
     }
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -38,6 +39,7 @@
 import pewtercourse.decision.SendAttempt;
 import pewtercourse.decision.SendGossip;
 import pewtercourse.decision.SettingsChanged;
+import pewtercourse.decision.SlowStartStatus;
 import pewtercourse.decision.StartTimer;
 import pewtercourse.decision.TimerFired;
 import pewtercourse.discovery.EndpointWatch;
@@ -88,6 +90,7 @@
     // By zone: for requests that the caches of other zones serve.
     private final Map<String, RouterEventQueue> remoteRouterQueues = new HashMap<>();
     private final GossipSocket gossipSocket;
+    private final SlowStartMonitor slowStartMonitor;
     private final Map<Long, ProxiedRequest> requests = new HashMap<>();
     private final Set<Long> answeredIds = Collections.newSetFromMap(new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -130,6 +133,7 @@
                 (long) (IDLE_TIMEOUT_FRACTION * siteSettings.idleTimeoutMicros()),
                 config.maxCacheConnections());
         this.registry = new ServiceRegistry(siteSettings, pool);
+        this.slowStartMonitor = new SlowStartMonitor(registry::get);
         this.localRouterQueue = newRouterQueue(siteSettings.router(), false);
         this.gossipSocket = new GossipSocket(vertx, config.peers(), config.inheritsSocket(), (from, bytes) -> {
             peerMessageListener.run();
@@ -159,6 +163,14 @@
         if (config.peerListen() != null) {
             gossipSocket.listen(config.peerListen()).onFailure(e -> Log.warn("peer.not_listening", "error", e));
         }
+        monitorSlowStarts();
+    }
+
+    private void monitorSlowStarts() {
+        if (!stopped) {
+            slowStartMonitor.observe(localRouterQueue.router().status().slowStarts());
+            timers.set(SlowStartMonitor.INTERVAL_MS, this::monitorSlowStarts);
+        }
     }
 
     private static void logMalformedInitialEvent(int index, Throwable error) {
@@ -283,7 +295,17 @@
                 registry.size(),
                 registry.drainedSize() + localRouterQueue.router().status().ejectedEndpoints(),
                 acceptedConfigs,
-                invalidConfigs);
+                invalidConfigs,
+                localRouterQueue.router().status().givenUp(),
+                slowStartsByName());
+    }
+
+    private Map<String, SlowStartStatus> slowStartsByName() {
+        Map<String, SlowStartStatus> byName = new TreeMap<>();
+        for (SlowStartStatus status : localRouterQueue.router().status().slowStarts()) {
+            byName.put(registry.get(status.endpointId()).name(), status);
+        }
+        return byName;
     }
 
     /** Whether the settings have a class of requests of this name. */
--- a/src/main/java/pewtercourse/director/Metrics.java
+++ b/src/main/java/pewtercourse/director/Metrics.java
@@ -1,10 +1,13 @@
 package pewtercourse.director;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import pewtercourse.decision.GiveUpReason;
+import pewtercourse.decision.SlowStartStatus;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.RequestHandler;
@@ -23,9 +26,19 @@
      * @param outOfRotation   number of endpoints that are drained or ejected
      * @param acceptedConfigs number of reloaded configurations that were accepted
      * @param invalidConfigs  number of reloaded configurations that were invalid
+     * @param givenUp         number of requests that the router rejected or failed, for each reason
+     * @param slowStarts      the endpoints in slow start, by name
      */
     public record GaugeValues(
-            long requestsWritten, int registryEntries, int outOfRotation, long acceptedConfigs, long invalidConfigs) {}
+            long requestsWritten,
+            int registryEntries,
+            int outOfRotation,
+            long acceptedConfigs,
+            long invalidConfigs,
+            Map<GiveUpReason, Long> givenUp,
+            Map<String, SlowStartStatus> slowStarts) {}
+
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private static final class ClassCounters {
         long fulfilled;
@@ -122,7 +135,21 @@
         appendLine(text, "registry_entries", gauges.registryEntries());
         appendLine(text, "out_of_rotation", gauges.outOfRotation());
         appendLine(text, "cfg_accepted", gauges.acceptedConfigs());
-        return appendLine(text, "cfg_invalid", gauges.invalidConfigs()).toString();
+        appendLine(text, "cfg_invalid", gauges.invalidConfigs());
+        for (GiveUpReason reason : GiveUpReason.values()) {
+            String name = reason.name().toLowerCase(Locale.ROOT);
+            appendLine(text, "given_up." + name, gauges.givenUp().getOrDefault(reason, 0L));
+        }
+        appendLine(text, "slow_start.endpoints", gauges.slowStarts().size());
+        gauges.slowStarts().forEach((name, status) -> appendSlowStart(text, "slow_start." + name + '.', status));
+        return text.toString();
+    }
+
+    private static void appendSlowStart(StringBuilder text, String prefix, SlowStartStatus status) {
+        appendLine(text, prefix + "age_ms", status.ageMicros() / MICROS_PER_MILLI);
+        appendLine(text, prefix + "budget_ms", status.budgetMicros() / MICROS_PER_MILLI);
+        appendLine(text, prefix + "used_ms", status.usedMicros() / MICROS_PER_MILLI);
+        appendLine(text, prefix + "refusals", status.refusals());
     }
 
     private static StringBuilder appendLine(StringBuilder text, String name, long value) {
--- a/src/test/java/pewtercourse/director/MetricsModelTest.java
+++ b/src/test/java/pewtercourse/director/MetricsModelTest.java
@@ -13,6 +13,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import pewtercourse.decision.GiveUpReason;
+import pewtercourse.decision.SlowStartStatus;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.RequestHandler;
@@ -79,7 +81,14 @@
                             .count(),
                     metrics.openRequests());
         }
-        String text = metrics.format(new Metrics.GaugeValues(7, 12, 2, 1, 3));
+        String text = metrics.format(new Metrics.GaugeValues(
+                7,
+                12,
+                2,
+                1,
+                3,
+                Map.of(GiveUpReason.SLOW_START, 4L),
+                Map.of("s-1", new SlowStartStatus(1, 0.5, 2_000, 9_000, 8_000, 6))));
         for (String className : List.of("menu-media", "menu-page")) {
             int served = received.getOrDefault(className + "SERVED", 0) + received.getOrDefault(className + "SAME", 0);
             assertTrue(text.contains("operations." + className + ".fulfilled=" + served + "\n"), text);
@@ -91,7 +100,11 @@
         assertTrue(!text.contains("no-such-class"), "counted a class that the settings lack");
         assertTrue(
                 text.endsWith("relayed=7\nopen_requests=" + metrics.openRequests()
-                        + "\nregistry_entries=12\nout_of_rotation=2\ncfg_accepted=1\ncfg_invalid=3\n"),
+                        + "\nregistry_entries=12\nout_of_rotation=2\ncfg_accepted=1\ncfg_invalid=3\ngiven_up.deadline=0\ngiven_up.attempts=0\n"
+                        + "given_up.slow_start=4\ngiven_up.no_endpoint=0\ngiven_up.retry_budget=0\n"
+                        + "given_up.unusable_request=0\ngiven_up.unreached=0\ngiven_up.fill_limit=0\n"
+                        + "slow_start.endpoints=1\nslow_start.s-1.age_ms=2\nslow_start.s-1.budget_ms=9\n"
+                        + "slow_start.s-1.used_ms=8\nslow_start.s-1.refusals=6\n"),
                 text);
     }
 }
