Charge a cold cache's budget until the work can no longer arrive, by endpoint id

Callers saw: more requests at a cold cache within its window than all directors together may send. Cause: an attempt was counted for one window from when it was decided. Bytes that are held back on the way (a late connection, a silent link, a stalled peer) let the attempts of several windows arrive in one; and the count belonged to the state of a list entry, so that a cache that left the list and returned had a new budget in the same window. Evidence: ZoneSimulationTest.cachesInSlowStartStayWithinTheirBudgetUnderFaults, new, with generated faults for 1 to 30 routers (held-back bytes, refused connections, flapping lists, late lists, clocks apart, restarted routers, unequal caches, moving load), judged on the caches' side by the users' rule. Fix: SlowStartLedger charges an attempt when it is sent and keeps the charge until it has been answered, one window after its latest possible arrival. Accounts go by the id of the endpoint; what was sent before the start was heard of counts as well. A router without a quota takes no turn. Why it holds: of all attempts that arrive within a window, each is still charged when the last of them is sent.

--- a/src/main/java/pewtercourse/decision/AttemptFinished.java
+++ b/src/main/java/pewtercourse/decision/AttemptFinished.java
@@ -6,6 +6,7 @@
  * @param attempt index of the attempt within its request, from 0
  * @param latency duration of the attempt in microseconds
  * @param requestDone whether the client has received its answer or has disconnected
+ * @param bodyTransferred whether the endpoint has sent the whole object
  */
 public record AttemptFinished(
         long requestId,
@@ -14,8 +15,21 @@
         AttemptOutcome outcome,
         long latency,
         boolean requestDone,
-        CacheStatus cacheStatus)
+        CacheStatus cacheStatus,
+        boolean bodyTransferred)
         implements RouterEvent {
+    /** Creates the event of an attempt that has transferred the object if it was successful. */
+    public AttemptFinished(
+            long requestId,
+            int attempt,
+            long endpointId,
+            AttemptOutcome outcome,
+            long latency,
+            boolean requestDone,
+            CacheStatus cacheStatus) {
+        this(requestId, attempt, endpointId, outcome, latency, requestDone, cacheStatus, outcome == AttemptOutcome.OK);
+    }
+
     @Override
     public void accept(RouterEventVisitor visitor) {
         visitor.visit(this);
--- a/src/main/java/pewtercourse/decision/AttemptSender.java
+++ b/src/main/java/pewtercourse/decision/AttemptSender.java
@@ -67,10 +67,7 @@
                 timeouts.expectedTime(request, fillsFromOutside),
                 fillsFromOutside ? fills.probability() : 0);
         request.onAttemptSent(attempt);
-        slowStart.onAttemptSent(target, request);
-        if (source != target && !source.is(EndpointRole.ORIGIN)) {
-            slowStart.onAttemptSent(source, request);
-        }
+        slowStart.onAttemptSent(request, attempt);
         target.limiter.acquire(1);
         fills.limiter.acquire(attempt.fillProbability);
         target.health.onAttemptSent();
--- a/src/main/java/pewtercourse/decision/AttemptState.java
+++ b/src/main/java/pewtercourse/decision/AttemptState.java
@@ -16,6 +16,11 @@
     /** Probability of a fill from a parent or the origin; the attempt takes this much of the limit on fills. */
     final double fillProbability;
 
+    /** Work charged to the endpoint; null before the attempt is sent. */
+    SlowStartLedger.Charge endpointCharge;
+    /** Work charged to the source of a fill; null if there is none. */
+    SlowStartLedger.Charge sourceCharge;
+
     boolean ended;
     /** Whether the answer is overdue. An overdue attempt takes no capacity any more. */
     boolean overdue;
--- a/src/main/java/pewtercourse/decision/EndpointState.java
+++ b/src/main/java/pewtercourse/decision/EndpointState.java
@@ -5,8 +5,6 @@
     final ConcurrencyLimiter limiter;
     final EndpointHealth health = new EndpointHealth();
     final ServedWork served = new ServedWork();
-    final WorkWindow slowStartWork = new WorkWindow();
-
     /** How often the budget of slow start had no room for a request. */
     long slowStartRefusals;
     /** Score for the object for which the endpoints were last sorted; see {@link PlacementOrder}. */
--- a/src/main/java/pewtercourse/decision/RequestDispatcher.java
+++ b/src/main/java/pewtercourse/decision/RequestDispatcher.java
@@ -131,6 +131,7 @@
             parts.timeouts().onOverdueAttemptEnded(outcome == AttemptOutcome.OK);
         }
         request.onAttemptEnded(attempt, outcome);
+        parts.slowStart().onAttemptEnded(request, attempt, end);
         parts.feedback().onAttemptEnded(request, attempt, end);
     }
 
--- a/src/main/java/pewtercourse/decision/RoutingEngine.java
+++ b/src/main/java/pewtercourse/decision/RoutingEngine.java
@@ -74,6 +74,7 @@
         parts.capacity().update();
         parts.timeouts().decay();
         parts.purges().expire();
+        parts.slowStart().expire();
         parts.gossip().reportIfDue(actions);
         startSweepTimer();
     }
--- a/src/main/java/pewtercourse/decision/SlowStartBudget.java
+++ b/src/main/java/pewtercourse/decision/SlowStartBudget.java
@@ -4,18 +4,25 @@
 
 /**
  * Limits the work sent to an endpoint that has just started. Within any overload window, the endpoint gets at
- * most its current capacity times the allowed overcommit, divided among the routers that may send to it. This
- * applies to every endpoint with a recent start, whatever the cause of the start. An endpoint with a wrongly
- * reported start time gets too little work for a while.
+ * most its current capacity times the allowed overcommit, divided among the routers that may send to it. What
+ * counts is the work that may reach the endpoint within a window, whatever holds it back on the way: see {@link
+ * SlowStartLedger}. This applies to every endpoint with a recent start, whatever the cause of the start. An
+ * endpoint with a wrongly reported start time gets too little work for a while.
  */
 final class SlowStartBudget {
     /** Share of the budget that is used, because weights and mean transfer times are inexact. */
     private static final double USED_SHARE = 0.8;
+    /**
+     * Share of its transfer time after which an answer with a body cannot have ended earlier, because a client's
+     * rate of transfer is limited; the rest allows for a size that is rounded.
+     */
+    private static final double CERTAIN_TRANSFER_SHARE = 0.9;
 
     private final RoutingContext context;
     private final SlowStartRamp ramp;
     private final CapacityEstimate capacity;
     private final TransferTimes transferTimes;
+    private final SlowStartLedger ledger = new SlowStartLedger();
     private double quotaFactor = 1;
     private long refusals;
     private long lastExhaustedAt = Long.MIN_VALUE / 2;
@@ -35,16 +42,14 @@
 
     /** Whether the budget of the endpoint allows this request. */
     boolean hasRoom(EndpointState endpoint, RequestState request) {
-        long window = context.settings().slowStart().overloadWindow();
-        if (endpoint.is(EndpointRole.ORIGIN) || ramp.isWarm(endpoint) || window <= 0) {
+        if (endpoint.is(EndpointRole.ORIGIN) || ramp.isWarm(endpoint) || window() <= 0) {
             return true;
         }
-        endpoint.slowStartWork.dropUntil(context.now() - window);
-        boolean allowed = endpoint.slowStartWork.sum() + transferTimes.mean(request) <= budget(endpoint, window);
+        boolean allowed = ledger.work(endpoint.id(), windowStart()) + transferTimes.mean(request) <= budget(endpoint);
         if (!allowed) {
             lastExhaustedAt = context.now();
         }
-        if (allowed || isOnTurn(endpoint, sendingRouters(endpoint), window)) {
+        if (allowed || isOnTurn(endpoint)) {
             return true;
         }
         endpoint.slowStartRefusals++;
@@ -59,37 +64,90 @@
 
     /** The budgets of those of the given endpoints that are in slow start. */
     List<SlowStartStatus> status(List<EndpointState> candidates) {
-        long window = context.settings().slowStart().overloadWindow();
         return candidates.stream()
-                .filter(endpoint -> window > 0 && !ramp.isWarm(endpoint))
-                .map(endpoint -> status(endpoint, window))
+                .filter(endpoint -> window() > 0 && !ramp.isWarm(endpoint))
+                .map(this::status)
                 .toList();
     }
 
-    private SlowStartStatus status(EndpointState endpoint, long window) {
+    private SlowStartStatus status(EndpointState endpoint) {
         return new SlowStartStatus(
                 endpoint.id(),
                 ramp.capacityShare(endpoint, context.now()),
                 context.now() - endpoint.endpoint().startedAt(),
-                (long) budget(endpoint, window),
-                (long) endpoint.slowStartWork.sumAfter(context.now() - window),
+                (long) budget(endpoint),
+                (long) ledger.work(endpoint.id(), windowStart()),
                 endpoint.slowStartRefusals);
     }
 
-    void onAttemptSent(EndpointState endpoint, RequestState request) {
-        if (!ramp.isWarm(endpoint)) {
-            endpoint.slowStartWork.add(context.now(), transferTimes.mean(request));
+    /**
+     * Charges an attempt to the endpoints that it may reach. Endpoints that seem to be warm are charged too: a
+     * restart is announced only some time after it.
+     */
+    void onAttemptSent(RequestState request, AttemptState attempt) {
+        attempt.endpointCharge = ledger.charge(attempt.endpoint.id(), context.now(), transferTimes.mean(request));
+        if (attempt.source != attempt.endpoint && !attempt.source.is(EndpointRole.ORIGIN)) {
+            attempt.sourceCharge = ledger.charge(attempt.source.id(), context.now(), transferTimes.mean(request));
         }
     }
 
+    /** Notes until when an attempt that has ended may have reached the endpoints that it was charged to. */
+    void onAttemptEnded(RequestState request, AttemptState attempt, AttemptFinished end) {
+        boolean sourceUnused =
+                end.outcome() == AttemptOutcome.CONNECT_FAILED || isHitWithoutRefresh(request, end.cacheStatus());
+        switch (end.outcome()) {
+            case CONNECT_FAILED -> ledger.cancel(attempt.endpointCharge);
+            case TIMEOUT, CANCELLED -> ledger.abandon(attempt.endpointCharge, context.now());
+            default -> ledger.confirm(attempt.endpointCharge, context.now(), latestArrival(request, attempt, end));
+        }
+        if (attempt.sourceCharge == null) {
+            return;
+        }
+        if (sourceUnused) {
+            ledger.cancel(attempt.sourceCharge);
+        } else if (end.outcome() == AttemptOutcome.TIMEOUT || end.outcome() == AttemptOutcome.CANCELLED) {
+            ledger.abandon(attempt.sourceCharge, context.now());
+        } else {
+            ledger.confirm(attempt.sourceCharge, context.now(), context.now());
+        }
+    }
+
+    // A cache may renew a copy of a class with a freshness lifetime after it has answered with it.
+    private static boolean isHitWithoutRefresh(RequestState request, CacheStatus status) {
+        return status == CacheStatus.HIT && request.requestClass.freshnessLifetime() == 0;
+    }
+
+    private long latestArrival(RequestState request, AttemptState attempt, AttemptFinished end) {
+        boolean sizeKnown =
+                request.arrival.sizeKb() > 0 && context.settings().bandwidth().clientKbPerSecond() > 0;
+        if (!end.bodyTransferred() || !sizeKnown) {
+            return context.now();
+        }
+        long transfer = (long) (CERTAIN_TRANSFER_SHARE * request.transferTime);
+        return Math.max(attempt.sentAt, context.now() - transfer);
+    }
+
+    /** Forgets work that no longer counts. */
+    void expire() {
+        ledger.expire(windowStart());
+    }
+
     /** Whether an endpoint recently had no budget left for a request. */
     boolean wasExhausted() {
-        return context.now() - lastExhaustedAt < context.settings().slowStart().overloadWindow();
+        return context.now() - lastExhaustedAt < window();
+    }
+
+    private long window() {
+        return context.settings().slowStart().overloadWindow();
+    }
+
+    private long windowStart() {
+        return context.now() - window();
     }
 
     // Work in microseconds that this router may send to the endpoint in a window.
-    private double budget(EndpointState endpoint, long window) {
-        return USED_SHARE * capacityForThisRouter(endpoint, sendingRouters(endpoint), window) * window;
+    private double budget(EndpointState endpoint) {
+        return USED_SHARE * capacityForThisRouter(endpoint) * window();
     }
 
     // Number of routers that may send to the endpoint.
@@ -101,24 +159,25 @@
 
     // Concurrent transfers that the endpoint can handle for this router. Its share of capacity rises at least
     // linearly, so the share in the middle of the window is the mean over the window.
-    private double capacityForThisRouter(EndpointState endpoint, int sendingRouters, long window) {
+    private double capacityForThisRouter(EndpointState endpoint) {
         double estimate = endpoint.is(EndpointRole.PARENT) ? capacity.ofWarmParent() : capacity.ofWarmCache();
-        double warmCapacity = weightsAreCapacities() ? endpoint.endpoint().weight() / sendingRouters : estimate;
+        double warmCapacity =
+                weightsAreCapacities() ? endpoint.endpoint().weight() / sendingRouters(endpoint) : estimate;
         SlowStart slowStart =
                 context.settings().slowStart().forRole(endpoint.endpoint().role());
-        double share = ramp.capacityShare(endpoint, context.now() - window / 2);
+        double share = ramp.capacityShare(endpoint, context.now() - window() / 2);
         return slowStart.overcommit() * share * warmCapacity * quotaFactor;
     }
 
     // If capacities are unknown, the routers take turns to send one request; otherwise none would learn them. Turns
     // are counted from the start of the endpoint, because the routers have no other time in common.
-    private boolean isOnTurn(EndpointState endpoint, int sendingRouters, long window) {
-        if (weightsAreCapacities() || !endpoint.slowStartWork.isEmpty()) {
+    private boolean isOnTurn(EndpointState endpoint) {
+        if (weightsAreCapacities() || quotaFactor <= 0 || ledger.work(endpoint.id(), windowStart()) > 0) {
             return false;
         }
-        long turn = (context.now() - endpoint.endpoint().startedAt()) / window + endpoint.id();
+        long turn = (context.now() - endpoint.endpoint().startedAt()) / window() + endpoint.id();
         int router = context.settings().topology().router();
-        return Math.floorMod(turn, sendingRouters) == router % sendingRouters;
+        return Math.floorMod(turn, sendingRouters(endpoint)) == router % sendingRouters(endpoint);
     }
 
     private boolean weightsAreCapacities() {
--- a/src/main/java/pewtercourse/director/ProxiedRequest.java
+++ b/src/main/java/pewtercourse/director/ProxiedRequest.java
@@ -245,7 +245,8 @@
                 AttemptOutcomes.fromResult(result),
                 director.clock.getAsLong() - sentAt,
                 closed,
-                AttemptOutcomes.parseCacheStatus(outcomeHeader));
+                AttemptOutcomes.parseCacheStatus(outcomeHeader),
+                result == AttemptResult.SERVED);
     }
 
     // ---- Rejection and failure ----
--- a/src/test/java/pewtercourse/ColdCacheClockStepTest.java
+++ b/src/test/java/pewtercourse/ColdCacheClockStepTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import pewtercourse.emulator.CacheModel;
+import pewtercourse.emulator.SystemFaults;
 import pewtercourse.front.fastcgi.RawFrontClient;
 
 /** Three caches start together under load while the wall clock of their only director is stepped. */
@@ -49,12 +50,12 @@
     private final List<ScriptedCache> caches = new ArrayList<>();
     private final AtomicInteger served = new AtomicInteger();
     private ScriptedFeed feed;
-    private WallClockShift wallClock;
+    private SystemFaults faults;
     private DirectorProcess director;
 
     @BeforeEach
     void startDirector() throws Exception {
-        wallClock = new WallClockShift(folder);
+        faults = DirectorProcess.systemFaults(folder);
         feed = new ScriptedFeed(HOST);
         for (int i = 0; i < CACHES; i++) {
             CacheModel model = new CacheModel(new CacheModel.Settings(
@@ -69,7 +70,7 @@
                 .getJsonObject("Domain")
                 .put("PipeKbPerS", new JsonArray().add(0).add(LINK_TRANSFERS * CLIENT_KB_PER_SECOND));
         members(config).getJsonObject(0).getJsonObject("members").put("hosts", hosts(0));
-        director = DirectorProcess.start(folder, config, wallClock.shellPrefix());
+        director = DirectorProcess.start(folder, config, faults);
     }
 
     @AfterEach
@@ -178,7 +179,7 @@
     private void startCachesUnderLoad(long shiftBefore, long shiftDuringLoad) throws Exception {
         try (ScriptedFeed.Watch watch = feed.accept()) {
             director.awaitEvent("director.listening");
-            wallClock.stepTo(shiftBefore);
+            faults.stepWallClockTo(shiftBefore);
             models.forEach(model -> model.start(nowMicros()));
             watch.writeEvent(2, listOfStartedCaches());
             pause(100);
@@ -190,7 +191,7 @@
                 clients.get(i).start();
             }
             pause(STEP_AFTER_MS);
-            wallClock.stepTo(shiftDuringLoad);
+            faults.stepWallClockTo(shiftDuringLoad);
             for (Thread client : clients) {
                 client.join();
             }
--- a/src/test/java/pewtercourse/DirectorProcess.java
+++ b/src/test/java/pewtercourse/DirectorProcess.java
@@ -16,12 +16,16 @@
 import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Assumptions;
+import pewtercourse.emulator.SystemFaults;
 
 /** Runs a director as a process of its own, as the platform does: controls it by signals and reads its log. */
 final class DirectorProcess implements Closeable {
@@ -73,6 +77,23 @@
      * @param shellPrefix shell commands that run before the program replaces the shell, such as a limit or a trap
      */
     static DirectorProcess start(Path folder, JsonObject config, String shellPrefix) throws IOException {
+        return start(folder, config, shellPrefix, Map.of());
+    }
+
+    /** Starts a director under faults of its system calls and of its wall clock. */
+    static DirectorProcess start(Path folder, JsonObject config, SystemFaults faults) throws IOException {
+        return start(folder, config, "", faults.environment());
+    }
+
+    /** Compiles the library for faults; the test is skipped, and says so, on a machine without a C compiler. */
+    static SystemFaults systemFaults(Path folder) throws IOException {
+        Optional<Path> library = SystemFaults.compile(folder);
+        Assumptions.assumeTrue(library.isPresent(), "not run: no C compiler (cc) on this machine");
+        return SystemFaults.of(library.get(), folder.resolve("system-faults"));
+    }
+
+    private static DirectorProcess start(
+            Path folder, JsonObject config, String shellPrefix, Map<String, String> environment) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), config.encode());
         ProcessBuilder builder = new ProcessBuilder(
                 "sh",
@@ -86,6 +107,7 @@
                 "serve");
         builder.environment().put("GW_CONFIG", file.toString());
         builder.environment().remove("GW_LISTEN");
+        builder.environment().putAll(environment);
         String[] hostAndPort = config.getString("listen").split(":");
         return new DirectorProcess(
                 builder.redirectErrorStream(true).start(),
--- a/src/test/java/pewtercourse/WallClockStepTest.java
+++ b/src/test/java/pewtercourse/WallClockStepTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import pewtercourse.emulator.SystemFaults;
 import pewtercourse.front.fastcgi.RawFrontClient;
 
 /** Steps the wall clock of a director: its deadlines, waits and ages of copies stay spans of real time. */
@@ -35,17 +36,17 @@
 
     private ScriptedCache cache;
     private ScriptedFeed feed;
-    private WallClockShift wallClock;
+    private SystemFaults faults;
     private DirectorProcess director;
 
     @BeforeEach
     void startDirector() throws Exception {
-        wallClock = new WallClockShift(folder);
+        faults = DirectorProcess.systemFaults(folder);
         cache = new ScriptedCache(HOST, ScriptedCache.respondWith("menu"));
         feed = new ScriptedFeed(HOST);
         JsonObject config =
                 DirectorProcess.configWithoutFeed(HOST, cache.hostAndPort()).put("feed", feed.hostAndPort());
-        director = DirectorProcess.start(folder, config, wallClock.shellPrefix());
+        director = DirectorProcess.start(folder, config, faults);
     }
 
     @AfterEach
@@ -74,7 +75,7 @@
             long sentNanos = System.nanoTime();
             client.write(request(1));
             Thread.sleep(STEP_AFTER_MS);
-            wallClock.stepTo(stepSeconds);
+            faults.stepWallClockTo(stepSeconds);
             String answer = client.readAnswer();
             assertNotNull(answer, "closed without an answer");
             assertTrue(answer.startsWith("Status: 503"), answer);
@@ -100,12 +101,12 @@
             idle.write(request(1));
             assertTrue(idle.readAnswer().startsWith("Status: 200"), "not served before the step");
             cache.setResponder(ScriptedCache.neverRespond());
-            wallClock.stepTo(stepSeconds);
+            faults.stepWallClockTo(stepSeconds);
             open.write(request(2));
             long signalledNanos = System.nanoTime();
             director.signal("TERM");
             director.awaitEvent("director.refusing");
-            wallClock.stepTo(-stepSeconds);
+            faults.stepWallClockTo(-stepSeconds);
             String answer = open.readAnswer();
             assertNotNull(answer, "closed without an answer");
             assertTrue(answer.startsWith("Status: 503"), answer);
@@ -121,12 +122,12 @@
     void noCopyFromBeforeAPurgeIsAskedForAfterAStep(long stepSeconds) throws Exception {
         try (ScriptedFeed.Watch watch = feed.accept();
                 RawFrontClient client = connect()) {
-            wallClock.stepTo(stepSeconds);
+            faults.stepWallClockTo(stepSeconds);
             long purgedNanos = System.nanoTime();
             JsonObject purge = new JsonObject().put("key", OBJECT).put("at", System.currentTimeMillis());
             watch.writeEvent(2, new JsonObject().put("n", 2).put("purge", purge).encode());
             Thread.sleep(PURGE_AGE_MS);
-            wallClock.stepTo(-stepSeconds);
+            faults.stepWallClockTo(-stepSeconds);
             client.write(request(1));
             assertTrue(client.readAnswer().startsWith("Status: 200"), "not served after the step");
             long maxAgeMs = cache.requestFields().stream()
--- a/src/test/java/pewtercourse/decision/ZoneSimulation.java
+++ b/src/test/java/pewtercourse/decision/ZoneSimulation.java
@@ -61,20 +61,51 @@
         boolean served;
     }
 
-    private record ScheduledEvent(long at, int router, RouterEvent event) {}
+    private record ScheduledEvent(long at, int router, RouterEvent event, int process) {
+        ScheduledEvent(long at, int router, RouterEvent event) {
+            this(at, router, event, 0);
+        }
+    }
+
+    /** One attempt on its way to a cache or at work there. */
+    private static final class Job {
+        final int router;
+        final int routerProcess;
+        final SendAttempt send;
+        final int attemptNumber;
+        final long sentAt;
+        final double sizeKb;
+        /** Whether the router has heard of its end. */
+        boolean ended;
+
+        Job(int router, int routerProcess, SendAttempt send, int attemptNumber, long sentAt, double sizeKb) {
+            this.router = router;
+            this.routerProcess = routerProcess;
+            this.send = send;
+            this.attemptNumber = attemptNumber;
+            this.sentAt = sentAt;
+            this.sizeKb = sizeKb;
+        }
+    }
 
-    private record Job(int router, SendAttempt send, int attemptNumber, long sentAt, double sizeKb) {}
+    private record Arrival(long at, boolean notified) {}
 
     /** A cache that works on {@link #SLOTS_PER_CACHE} requests at once, at a speed that grows during slow start. */
     private final class Cache {
         final Deque<Job> queue = new ArrayDeque<>();
         /** Times of the requests that came within the last {@link #OVERLOAD_WINDOW}. */
-        final Deque<Long> recentArrivals = new ArrayDeque<>();
+        final Deque<Arrival> recentArrivals = new ArrayDeque<>();
+
+        final int index;
         /** Time of the last start; 0 if the cache has been warm from the beginning. */
         long restartedAt;
 
         int busySlots;
 
+        Cache(int index) {
+            this.index = index;
+        }
+
         double capacityShare(long now) {
             return restartedAt == 0
                     ? 1
@@ -82,7 +113,10 @@
         }
 
         void accept(long now, Job job) {
-            recordArrival(now);
+            recordArrival(now, isNotified(job.router, now));
+            if (job.ended) {
+                return; // Cancelled on the way.
+            }
             if (busySlots < SLOTS_PER_CACHE) {
                 startJob(now, job);
             } else if (queue.size() < MAX_QUEUED_PER_CACHE) {
@@ -108,20 +142,26 @@
         }
 
         /**
-         * Counts the requests of the present overload window against the slow start budget of all routers together. Two
-         * standard deviations and two requests above the budget are put down to chance.
+         * Counts the requests of the present overload window against the slow start budget of all routers together, with
+         * the margin for chance that the rule on cold caches allows. It is broken if over two thirds of them came from
+         * routers that had been notified of the start.
          */
-        void recordArrival(long now) {
+        void recordArrival(long now, boolean notified) {
             if (restartedAt == 0 || now > restartedAt + SLOW_START_WINDOW) {
                 return;
             }
-            recentArrivals.addLast(now);
-            while (recentArrivals.peekFirst() <= now - OVERLOAD_WINDOW) {
+            recentArrivals.addLast(new Arrival(now, notified));
+            while (recentArrivals.peekFirst().at() <= now - OVERLOAD_WINDOW) {
                 recentArrivals.removeFirst();
             }
-            double budget = OVERCOMMIT * capacityShare(now) * SLOTS_PER_CACHE * OVERLOAD_WINDOW / MEAN_SERVICE_TIME;
-            maxExcessRequests =
-                    Math.max(maxExcessRequests, recentArrivals.size() - (budget + 2 * Math.sqrt(budget) + 2));
+            double capacity = SLOTS_PER_CACHE * faults.relativeCapacity[index] * capacityShare(now);
+            double budget = OVERCOMMIT * capacity * OVERLOAD_WINDOW / MEAN_SERVICE_TIME;
+            double margin = faults.enabled && budget < 30 ? 3 * Math.sqrt(budget) + 3 : 2 * Math.sqrt(budget) + 2;
+            long fromNotified =
+                    recentArrivals.stream().filter(Arrival::notified).count();
+            if (3 * fromNotified > 2 * recentArrivals.size()) {
+                maxExcessRequests = Math.max(maxExcessRequests, recentArrivals.size() - (budget + margin));
+            }
         }
     }
 
@@ -129,6 +169,7 @@
 
     private final Random random;
     private final RoutingEngine[] routers;
+    private final List<RouterSettings> settingsOfRouters = new ArrayList<>();
     /** Relative load of each router. */
     private final double[] loadWeights;
 
@@ -142,6 +183,12 @@
     private final Map<Long, ClientRequest> requests = new HashMap<>();
     private long lastRequestId;
     private double maxExcessRequests = Double.NEGATIVE_INFINITY;
+    private final ZoneFaults faults;
+    private final long seed;
+    /** How many processes of each router have started. */
+    private final int[] routerProcesses;
+    /** Jobs that the routers have not heard the end of, by request and number of the attempt. */
+    private final Map<String, Job> openJobs = new HashMap<>();
 
     /**
      * Sets up a zone that plays the same events for the same arguments.
@@ -149,6 +196,14 @@
      * @param load work that clients ask for, as a multiple of what all caches can do when warm
      */
     ZoneSimulation(int routerCount, double load, Restart restart, long seed) {
+        this(routerCount, load, restart, seed, ZoneFaults.none(routerCount, CACHES));
+    }
+
+    /** The same with faults. */
+    ZoneSimulation(int routerCount, double load, Restart restart, long seed, ZoneFaults faults) {
+        this.faults = faults;
+        this.seed = seed;
+        this.routerProcesses = new int[routerCount];
         this.random = new Random(seed);
         this.load = load;
         this.restart = restart;
@@ -161,12 +216,13 @@
         // The indexes of a zone's routers are spread over those of the whole fleet.
         Collections.shuffle(routerIndexes, random);
         for (int i = 0; i < routerCount; i++) {
-            routers[i] = new RoutingEngine(settings(routerIndexes.get(i), routerCount), seed * 1_000 + i);
+            settingsOfRouters.add(settings(routerIndexes.get(i), routerCount));
+            routers[i] = new RoutingEngine(settingsOfRouters.get(i), seed * 1_000 + i);
             // Some routers get several times the mean load.
             loadWeights[i] = 0.3 + 3 * random.nextDouble() * random.nextDouble();
         }
         for (int i = 0; i < CACHES; i++) {
-            caches.add(new Cache());
+            caches.add(new Cache(i));
         }
     }
 
@@ -203,27 +259,37 @@
                 6 * SECONDS);
     }
 
-    private EndpointsChanged endpointList(boolean afterRestart) {
+    private Endpoint cacheEndpoint(int router, int cache, EndpointLifecycle lifecycle, boolean afterRestart) {
+        boolean restarted = afterRestart && (restart == Restart.ALL || restart == Restart.ONE && cache == 0);
+        long startedAt = RESTART_TIME + faults.clockOffset[router] + faults.ageError[router];
+        return new Endpoint(cache + 1, 0, EndpointRole.CACHE, 0, lifecycle, 0, restarted ? startedAt : 0);
+    }
+
+    private EndpointsChanged endpointList(int router, boolean afterRestart) {
         List<Endpoint> endpoints = new ArrayList<>();
         for (int i = 0; i < CACHES; i++) {
-            boolean restarted = afterRestart && (restart == Restart.ALL || restart == Restart.ONE && i == 0);
-            endpoints.add(new Endpoint(
-                    i + 1, 0, EndpointRole.CACHE, 0, EndpointLifecycle.READY, 0, restarted ? RESTART_TIME : 0));
+            endpoints.add(cacheEndpoint(router, i, EndpointLifecycle.READY, afterRestart));
         }
         endpoints.add(new Endpoint(100, 5, EndpointRole.PARENT, 0, EndpointLifecycle.READY, 0, 0));
         endpoints.add(new Endpoint(101, 5, EndpointRole.ORIGIN, 0, EndpointLifecycle.READY, 0, 0));
         return new EndpointsChanged(EndpointUpdateKind.SNAPSHOT, endpoints);
     }
 
+    private boolean isNotified(int router, long now) {
+        return now >= RESTART_TIME + faults.listDelay[router];
+    }
+
     /** Runs the simulation from its start to {@link #END_TIME}. */
     ZoneSimulation play() {
         for (int router = 0; router < routers.length; router++) {
-            routerEvents.add(new ScheduledEvent(START_TIME, router, endpointList(false)));
-            routerEvents.add(new ScheduledEvent(RESTART_TIME, router, endpointList(true)));
+            routerEvents.add(new ScheduledEvent(START_TIME, router, endpointList(router, false)));
+            routerEvents.add(
+                    new ScheduledEvent(RESTART_TIME + faults.listDelay[router], router, endpointList(router, true)));
             routerEvents.add(new ScheduledEvent(
                     START_TIME + random.nextInt((int) SWEEP_INTERVAL), router, new TimerFired("sweep")));
             scheduleNextRequest(router, START_TIME);
         }
+        scheduleFaults();
         boolean restarted = false;
         while (routerEvents.peek().at < END_TIME) {
             long now = cacheTasks.isEmpty()
@@ -242,6 +308,40 @@
         return this;
     }
 
+    private void scheduleFaults() {
+        for (ZoneFaults.Flap flap : faults.flaps) {
+            scheduleList(flap.router(), flap.cache(), flap.goneAt(), EndpointLifecycle.GONE);
+            scheduleList(flap.router(), flap.cache(), flap.backAt(), EndpointLifecycle.READY);
+        }
+        for (ZoneFaults.RouterRestart change : faults.routerRestarts) {
+            cacheTasks.add(new ScheduledTask(RESTART_TIME + change.endsAt(), () -> routers[change.router()] = null));
+            long startsAt = RESTART_TIME + change.startsAt();
+            cacheTasks.add(new ScheduledTask(startsAt, () -> startRouter(change.router(), startsAt)));
+        }
+        if (faults.enabled) {
+            cacheTasks.add(new ScheduledTask(RESTART_TIME + faults.loadShiftAt, this::shiftLoad));
+        }
+    }
+
+    private void scheduleList(int router, int cache, long after, EndpointLifecycle lifecycle) {
+        Endpoint endpoint = cacheEndpoint(router, cache, lifecycle, true);
+        routerEvents.add(new ScheduledEvent(
+                RESTART_TIME + after, router, new EndpointsChanged(EndpointUpdateKind.DELTA, List.of(endpoint))));
+    }
+
+    private void startRouter(int router, long now) {
+        routerProcesses[router]++;
+        routers[router] = new RoutingEngine(settingsOfRouters.get(router), seed * 1_000 + router);
+        routerEvents.add(new ScheduledEvent(now, router, endpointList(router, isNotified(router, now))));
+    }
+
+    private void shiftLoad() {
+        double[] before = loadWeights.clone();
+        for (int i = 0; i < before.length; i++) {
+            loadWeights[i] = before[(i + faults.loadShift) % before.length];
+        }
+    }
+
     private void restartCaches() {
         for (int i = 0; i < CACHES; i++) {
             if (restart == Restart.ALL || restart == Restart.ONE && i == 0) {
@@ -251,25 +351,76 @@
     }
 
     private void handle(ScheduledEvent scheduled) {
-        if (scheduled.event instanceof RequestArrived arrival) {
+        int router = scheduled.router;
+        RouterEvent event = scheduled.event;
+        if (event instanceof RequestArrived arrival) {
+            scheduleNextRequest(router, scheduled.at);
             ClientRequest request = new ClientRequest();
             request.sizeKb = arrival.sizeKb();
             requests.put(arrival.requestId(), request);
-            scheduleNextRequest(scheduled.router, scheduled.at);
+            event = onClockOf(router, arrival);
         }
-        for (RouterAction action : routers[scheduled.router].handle(scheduled.at, List.of(scheduled.event))) {
+        if (routers[router] == null || isOfEndedProcess(scheduled)) {
+            return;
+        }
+        long offset = faults.clockOffset[router];
+        for (RouterAction action : routers[router].handle(scheduled.at + offset, List.of(event))) {
             if (action instanceof StartTimer timer) {
-                routerEvents.add(new ScheduledEvent(timer.dueAt(), scheduled.router, new TimerFired(timer.name())));
+                routerEvents.add(new ScheduledEvent(
+                        timer.dueAt() - offset, router, new TimerFired(timer.name()), routerProcesses[router]));
             } else if (action instanceof SendAttempt send) {
-                ClientRequest request = requests.get(send.requestId());
-                Job job = new Job(scheduled.router, send, request.attempts++, scheduled.at, request.sizeKb);
-                if (send.endpointId() <= CACHES) {
-                    caches.get((int) send.endpointId() - 1).accept(scheduled.at, job);
+                sendAttempt(scheduled.at, router, send);
+            } else if (action instanceof CancelAttempt cancel && faults.enabled) {
+                Job job = openJobs.get(cancel.requestId() + "/" + cancel.attempt());
+                if (job != null) {
+                    finishAttempt(scheduled.at, job, AttemptOutcome.CANCELLED, CacheStatus.UNKNOWN);
                 }
             }
         }
     }
 
+    private boolean isOfEndedProcess(ScheduledEvent scheduled) {
+        return scheduled.event instanceof TimerFired && scheduled.process != routerProcesses[scheduled.router];
+    }
+
+    private RequestArrived onClockOf(int router, RequestArrived arrival) {
+        return new RequestArrived(
+                arrival.requestId(),
+                arrival.requestClass(),
+                arrival.object(),
+                arrival.segment(),
+                arrival.purgeGroup(),
+                arrival.sizeKb(),
+                arrival.expiresAt() + faults.clockOffset[router],
+                arrival.clientRetry(),
+                arrival.write());
+    }
+
+    private void sendAttempt(long now, int router, SendAttempt send) {
+        ClientRequest request = requests.get(send.requestId());
+        Job job = new Job(router, routerProcesses[router], send, request.attempts++, now, request.sizeKb);
+        if (send.endpointId() > CACHES) {
+            return;
+        }
+        int cache = (int) send.endpointId() - 1;
+        if (!faults.enabled) {
+            caches.get(cache).accept(now, job);
+            return;
+        }
+        openJobs.put(send.requestId() + "/" + job.attemptNumber, job);
+        if (faults.isRefused(cache, now - RESTART_TIME)) {
+            cacheTasks.add(new ScheduledTask(
+                    now + MILLIS,
+                    () -> finishAttempt(now + MILLIS, job, AttemptOutcome.CONNECT_FAILED, CacheStatus.UNKNOWN)));
+            return;
+        }
+        long arrival = RESTART_TIME + faults.arrivalOf(cache, now - RESTART_TIME);
+        cacheTasks.add(new ScheduledTask(arrival, () -> caches.get(cache).accept(arrival, job)));
+        long timeout = now + DEADLINE;
+        cacheTasks.add(new ScheduledTask(
+                timeout, () -> finishAttempt(timeout, job, AttemptOutcome.TIMEOUT, CacheStatus.UNKNOWN)));
+    }
+
     /** Schedules the router's next request, a random exponentially distributed time after {@code previous}. */
     private void scheduleNextRequest(int router, long previous) {
         double requestsPerMicro = load
@@ -291,8 +442,16 @@
     }
 
     private void finishAttempt(long now, Job job, AttemptOutcome outcome, CacheStatus cacheStatus) {
+        if (job.ended) {
+            return;
+        }
+        job.ended = true;
+        openJobs.remove(job.send.requestId() + "/" + job.attemptNumber);
         boolean served = outcome == AttemptOutcome.OK && now <= job.sentAt + DEADLINE;
         requests.get(job.send.requestId()).served |= served;
+        if (job.routerProcess != routerProcesses[job.router]) {
+            return;
+        }
         routerEvents.add(new ScheduledEvent(
                 now,
                 job.router,
--- a/src/test/java/pewtercourse/decision/ZoneSimulationTest.java
+++ b/src/test/java/pewtercourse/decision/ZoneSimulationTest.java
@@ -10,6 +10,7 @@
 /** Checks what all routers of a zone do together, over several seeds, loads and numbers of routers. */
 class ZoneSimulationTest {
     private static final int SEEDS = 6;
+    private static final int FAULT_SEEDS = 20;
 
     // From normal load to a burst far above what the zone can serve. Only in such a burst do the requests of all
     // routers come near the budget of a cache in slow start.
@@ -41,6 +42,23 @@
         assertCachesStayWithinSlowStartBudget(routerCount, Restart.ALL);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 5, 12, 30})
+    void cachesInSlowStartStayWithinTheirBudgetUnderFaults(int routerCount) {
+        for (double load : LOADS) {
+            for (int seed = 1; seed <= FAULT_SEEDS; seed++) {
+                ZoneFaults faults = ZoneFaults.draw(routerCount, ZoneSimulation.CACHES, 7_000 * routerCount + seed);
+                double excessRequests = new ZoneSimulation(routerCount, load, Restart.ALL, seed, faults)
+                        .play()
+                        .maxExcessRequests();
+                assertTrue(
+                        excessRequests <= 0,
+                        routerCount + " routers, load " + load + ", seed " + seed + ": requests above the budget: "
+                                + excessRequests);
+            }
+        }
+    }
+
     // The last parameter is the least share served of the largest tenth of the requests, and of the fifth below
     // it, as a part of the share served of all requests.
     @ParameterizedTest
