Learn a cache's capacity from the bytes that it sent, not from the number of its answers

Callers saw: a cold cache got more than its budget from a director whose zone had been overloaded before. Cause: the served work of a warm cache was counted as its answers times the mean work of their class. Under overload small requests are served and large ones rejected, and 304 answers carry no bytes: the count rises above what the cache can handle, and the estimate keeps its highest value. Fix: the transfer time of what was really sent, as an exact exponential average; answers without a body don't count. Being a lower bound, 0.95 of it is used; of published weights and of the guess from the link 0.8 as before.

--- a/src/main/java/pewtercourse/decision/AttemptFeedback.java
+++ b/src/main/java/pewtercourse/decision/AttemptFeedback.java
@@ -16,19 +16,12 @@
     private final OutlierDetector outliers;
     private final FillTracker fills;
     private final ContentHints hints;
-    private final TransferTimes transferTimes;
 
-    AttemptFeedback(
-            RoutingContext context,
-            OutlierDetector outliers,
-            FillTracker fills,
-            ContentHints hints,
-            TransferTimes transferTimes) {
+    AttemptFeedback(RoutingContext context, OutlierDetector outliers, FillTracker fills, ContentHints hints) {
         this.context = context;
         this.outliers = outliers;
         this.fills = fills;
         this.hints = hints;
-        this.transferTimes = transferTimes;
     }
 
     void onAttemptEnded(RequestState request, AttemptState attempt, AttemptFinished end) {
@@ -40,7 +33,7 @@
         boolean hit = isHit(attempt, end.cacheStatus());
         ConcurrencyLimiter limiter = responsibleLimiter(attempt, hit);
         if (end.outcome() == AttemptOutcome.OK) {
-            onAnswer(request, attempt, end.latency(), hit, limiter);
+            onAnswer(request, attempt, end, hit, limiter);
         } else {
             onFailure(request, attempt, end, limiter);
         }
@@ -65,7 +58,8 @@
     }
 
     private void onAnswer(
-            RequestState request, AttemptState attempt, long latency, boolean hit, ConcurrencyLimiter limiter) {
+            RequestState request, AttemptState attempt, AttemptFinished end, boolean hit, ConcurrencyLimiter limiter) {
+        long latency = end.latency();
         double objective = request.latencyObjective();
         boolean late = latency > objective;
         EndpointState cache = attempt.endpoint;
@@ -76,7 +70,9 @@
                 suspect -> outliers.record(suspect, suspect != attempt.source && outliers.hasHealthyPeer(suspect)));
         limiter.recordSpeed(latency - request.transferTime > SLOW_SHARE * objective);
         limiter.adapt(context.now(), context.routersInZone(), latency < WELL_WITHIN_SHARE * objective, late);
-        cache.served.add(context.now(), transferTimes.mean(request));
+        if (end.bodyTransferred()) {
+            cache.served.add(context.now(), request.transferTime);
+        }
         if (attempt.fillsFromOutside) {
             fills.recordNeed(!hit);
             if (!hit) {
@@ -92,7 +88,7 @@
         EndpointState source = attempt.source;
         source.recordPace(EndpointHealth.GAIN, latency / attempt.expectedTime);
         outliers.record(source, late && outliers.isLaggingSource(source));
-        source.served.add(context.now(), transferTimes.mean(request));
+        source.served.add(context.now(), request.transferTime);
         source.onAnswer(context.now());
         if (!outliers.isLaggingSource(source)) {
             fills.recordWait(latency - request.transferTime);
--- a/src/main/java/pewtercourse/decision/CapacityEstimate.java
+++ b/src/main/java/pewtercourse/decision/CapacityEstimate.java
@@ -4,8 +4,8 @@
 
 /**
  * Estimates how much work a warm endpoint can handle for this router, in concurrent transfers. The estimate is
- * based on the work that warm endpoints served recently; for caches it is at least what the zone's link for
- * fills can support.
+ * based on the work that warm endpoints served recently, in bytes that they sent, which is never more than they
+ * can handle; for caches it is at least what the zone's link for fills can support.
  */
 final class CapacityEstimate {
     /**
@@ -14,6 +14,10 @@
      * traffic. The resulting factor is halved because it is a guess.
      */
     private static final double TRANSFERS_PER_LINK_TRANSFER = 1.4;
+    /** Share of the served work that is used, because the caches' capacities and the mean transfer times differ. */
+    private static final double USED_SERVED_SHARE = 0.95;
+    /** Share of the capacity derived from the link that is used, for the same reasons. */
+    private static final double USED_LINK_SHARE = 0.8;
     /** In a zone with fewer caches than this, the link is assumed to be wider by the square root of the ratio. */
     private static final double NOMINAL_CACHES = 8;
     /** Minimum number of caches that a zone is assumed to have. */
@@ -45,11 +49,11 @@
     }
 
     double ofWarmCache() {
-        return Math.max(warmCacheCapacity, supportedByLink());
+        return Math.max(USED_SERVED_SHARE * warmCacheCapacity, USED_LINK_SHARE * supportedByLink());
     }
 
     double ofWarmParent() {
-        return warmParentCapacity;
+        return USED_SERVED_SHARE * warmParentCapacity;
     }
 
     // A router that starts together with its zone has seen no work served yet; without this bound it would
--- a/src/main/java/pewtercourse/decision/RoutingParts.java
+++ b/src/main/java/pewtercourse/decision/RoutingParts.java
@@ -47,6 +47,6 @@
                 new CacheSelector(context, endpoints, counts, slowStart, outliers, idempotency, transferTimes),
                 new FillSourceSelector(context, endpoints, hints, slowStart, outliers),
                 new AttemptSender(context, actions, fills, timeouts, slowStart, counts, hints, purges),
-                new AttemptFeedback(context, outliers, fills, hints, transferTimes));
+                new AttemptFeedback(context, outliers, fills, hints));
     }
 }
--- a/src/main/java/pewtercourse/decision/ServedWork.java
+++ b/src/main/java/pewtercourse/decision/ServedWork.java
@@ -5,15 +5,16 @@
     /** Time constant of the average. */
     private static final double WINDOW_MICROS = 4_000_000;
 
-    private double sum;
+    private double average;
     private long updatedAt;
 
+    /** Adds a transfer that has ended now: the average then contains what it added to it while it ran. */
     void add(long now, double transferTime) {
-        sum = sum * Math.exp((updatedAt - now) / WINDOW_MICROS) + transferTime;
+        average = average(now) + 1 - Math.exp(-transferTime / WINDOW_MICROS);
         updatedAt = now;
     }
 
     double average(long now) {
-        return sum * Math.exp((updatedAt - now) / WINDOW_MICROS) / WINDOW_MICROS;
+        return average * Math.exp((updatedAt - now) / WINDOW_MICROS);
     }
 }
--- a/src/main/java/pewtercourse/decision/SlowStartBudget.java
+++ b/src/main/java/pewtercourse/decision/SlowStartBudget.java
@@ -10,8 +10,8 @@
  * endpoint with a wrongly reported start time gets too little work for a while.
  */
 final class SlowStartBudget {
-    /** Share of the budget that is used, because weights and mean transfer times are inexact. */
-    private static final double USED_SHARE = 0.8;
+    /** Share of a published weight that is used, because weights and mean transfer times are inexact. */
+    private static final double USED_WEIGHT_SHARE = 0.8;
     /**
      * Share of its transfer time after which an answer with a body cannot have ended earlier, because a client's
      * rate of transfer is limited; the rest allows for a size that is rounded.
@@ -147,7 +147,7 @@
 
     // Work in microseconds that this router may send to the endpoint in a window.
     private double budget(EndpointState endpoint) {
-        return USED_SHARE * capacityForThisRouter(endpoint) * window();
+        return capacityForThisRouter(endpoint) * window();
     }
 
     // Number of routers that may send to the endpoint.
@@ -161,8 +161,9 @@
     // linearly, so the share in the middle of the window is the mean over the window.
     private double capacityForThisRouter(EndpointState endpoint) {
         double estimate = endpoint.is(EndpointRole.PARENT) ? capacity.ofWarmParent() : capacity.ofWarmCache();
-        double warmCapacity =
-                weightsAreCapacities() ? endpoint.endpoint().weight() / sendingRouters(endpoint) : estimate;
+        double warmCapacity = weightsAreCapacities()
+                ? USED_WEIGHT_SHARE * endpoint.endpoint().weight() / sendingRouters(endpoint)
+                : estimate;
         SlowStart slowStart =
                 context.settings().slowStart().forRole(endpoint.endpoint().role());
         double share = ramp.capacityShare(endpoint, context.now() - window() / 2);
--- a/src/test/java/pewtercourse/decision/ZoneSimulationTest.java
+++ b/src/test/java/pewtercourse/decision/ZoneSimulationTest.java
@@ -59,6 +59,16 @@
         }
     }
 
+    // Before the restart these zones served mostly small requests, at a load far above their capacity.
+    @ParameterizedTest
+    @ValueSource(ints = {99, 148})
+    void aCapacityLearnedFromSmallRequestsIsNotOverestimated(int seed) {
+        ZoneFaults faults = ZoneFaults.draw(1, ZoneSimulation.CACHES, 7_000 + seed);
+        double excessRequests =
+                new ZoneSimulation(1, 2.5, Restart.ALL, seed, faults).play().maxExcessRequests();
+        assertTrue(excessRequests <= 0, "requests above the budget: " + excessRequests);
+    }
+
     // The last parameter is the least share served of the largest tenth of the requests, and of the fifth below
     // it, as a part of the share served of all requests.
     @ParameterizedTest
