--- a/src/main/java/pewtercourse/decision/SlowStartLedger.java
+++ b/src/main/java/pewtercourse/decision/SlowStartLedger.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The work of this router that may reach an endpoint within an overload window. Work is charged when an attempt is sent. It
@@ -15,7 +14,7 @@
  */
 final class SlowStartLedger {
     /** How long the bytes of an attempt that was given up without an answer may stay on the way. */
-    private static final long MAX_TIME_ON_THE_WAY = TimeUnit.SECONDS.toMicros(10);
+    private static final long MAX_TIME_ON_THE_WAY = 10_000_000;
 
     /** Work that was sent in one attempt to one endpoint. */
     static final class Charge {
