Go on accepting 5 ms after a failed accept, on all listeners

Callers saw: after one failed accept (EMFILE, ENFILE, ENOBUFS) no connection was accepted for a second; three in a row delayed an answer by 3.2 to 3.4 s against a deadline of 0.8 s. Such a request is taken, since the machine has accepted its connection, and was lost. Cause: the library's acceptor stops reading for a second after any error. Fix: RetryingListener keeps the error, logs front.accept_error and accepts again after 5 ms; the operators' and the members' listeners are of the same kind.

--- a/src/main/java/pewtercourse/front/FrontTransport.java
+++ b/src/main/java/pewtercourse/front/FrontTransport.java
@@ -7,8 +7,8 @@
 import io.vertx.core.transport.Transport;
 
 /**
- * The NIO transport of Vert.x with two changes: the event loop waits in whole milliseconds
- * ({@link WholeMillisecondWaits}), and the clients' server listens on the given channel. The clients' server is the first
+ * The NIO transport of Vert.x with three changes: the event loop waits in whole milliseconds
+ * ({@link WholeMillisecondWaits}), servers go on accepting soon after a failed accept ({@link RetryingListener}), and the clients' server listens on the given channel. The clients' server is the first
  * server that is opened after {@link #useListenerForNextServer}; other servers, such as the cluster's, may be opened before
  * and after.
  */
@@ -50,7 +50,8 @@
 
             @Override
             public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
-                ChannelFactory<? extends ServerChannel> defaultFactory = super.serverChannelFactory(domainSocket);
+                ChannelFactory<? extends ServerChannel> defaultFactory =
+                        domainSocket ? super.serverChannelFactory(true) : RetryingListener::new;
                 return () -> {
                     boolean isFront = isFrontNext;
                     isFrontNext = false;
--- a/src/main/java/pewtercourse/front/LimitedListener.java
+++ b/src/main/java/pewtercourse/front/LimitedListener.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
@@ -15,7 +14,7 @@
  * limit, clients could use up the descriptors that the control feed and the caches need while the event loop is busy, as it
  * is at a start. Connections over the limit are closed unread.
  */
-public class LimitedListener extends NioServerSocketChannel {
+public class LimitedListener extends RetryingListener {
     // The JDK releases the descriptor of a closed socket only in the next run of its selector.
     private static final long DESCRIPTOR_RELEASE_MS = 5;
 
@@ -34,13 +33,13 @@
     }
 
     @Override
-    protected int doReadMessages(List<Object> accepted) throws Exception {
+    int acceptWaiting(List<Object> accepted) throws Exception {
         if (openConnections.get() >= maxConnections) {
             rejectNextConnection();
             return 0;
         }
         int sizeBefore = accepted.size();
-        int acceptedCount = super.doReadMessages(accepted);
+        int acceptedCount = super.acceptWaiting(accepted);
         for (Object child : accepted.subList(sizeBefore, accepted.size())) {
             openConnections.incrementAndGet();
             Channel channel = (Channel) child;
--- a/src/main/java/pewtercourse/handover/InheritedSocket.java
+++ b/src/main/java/pewtercourse/handover/InheritedSocket.java
@@ -103,7 +103,7 @@
             return bound && super.isActive();
         }
 
-        // After an error Netty resumes accepting by itself a second later, so this checks the switch.
+        // After a failed accept the listener resumes by itself, so this checks the switch.
         @Override
         protected void doBeginRead() throws Exception {
             if (accepting) {
