Count a client's deadline from the beginning of a stall in which its request waited

Callers saw: after a stop of the process a cache got a deadline of up to 0.55 s more than the client had left (0.15 s is the slack). What arrives while the process does not run (SIGSTOP, no processor) is read later. Fix: ArrivalClock beats every 20 ms; what is read until the beat after a gap of over 60 ms counts as arrived at the beginning of the gap.

--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -86,6 +86,7 @@
     private final NetSocket socket;
     private final RequestHandler handler;
     private final LongSupplier clock;
+    private final LongSupplier arrivalClock;
     private final Timers timers;
     private final ConnectionTable table;
     private final Backlog backlog;
@@ -114,6 +115,7 @@
             NetSocket socket,
             RequestHandler handler,
             LongSupplier clock,
+            LongSupplier arrivalClock,
             Timers timers,
             ConnectionTable table,
             Backlog backlog,
@@ -121,6 +123,7 @@
         this.socket = socket;
         this.handler = handler;
         this.clock = clock;
+        this.arrivalClock = arrivalClock;
         this.timers = timers;
         this.table = table;
         this.backlog = backlog;
@@ -411,7 +414,7 @@
     private void onRequestComplete(OpenRequest request) {
         timers.cancel(request.timer);
         request.isComplete = true;
-        request.completedAtMicros = clock.getAsLong();
+        request.completedAtMicros = arrivalClock.getAsLong();
         if (unwrittenBytes > MAX_UNWRITTEN_BYTES) {
             deferred.add(request);
         } else {
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
@@ -19,6 +19,7 @@
     private final Timers timers;
     private final RequestHandler handler;
     private final LongSupplier clock;
+    private final ArrivalClock arrivalClock;
     private final ConnectionTable table;
     private final FastCgiConnection.Backlog backlog;
     private long nextStageTimer = -1;
@@ -29,6 +30,7 @@
         this.timers = Timers.of(vertx);
         this.handler = handler;
         this.clock = clock;
+        this.arrivalClock = new ArrivalClock(clock, timers);
         this.table = new ConnectionTable(limits.connections(), limits.requestBytes());
         this.backlog = new FastCgiConnection.Backlog(limits.answerBytes());
         server = vertx.createNetServer(
@@ -40,7 +42,7 @@
     private void accept(NetSocket socket) {
         socketCount++;
         if (table.admit(clock.getAsLong())) {
-            new FastCgiConnection(socket, handler, clock, timers, table, backlog, () -> socketCount--);
+            new FastCgiConnection(socket, handler, clock, arrivalClock, timers, table, backlog, () -> socketCount--);
         } else {
             socket.closeHandler(v -> socketCount--);
             socket.close();
@@ -63,6 +65,7 @@
 
     /** Stops listening and closes all connections. */
     public Future<Void> close() {
+        arrivalClock.stop();
         return server.close();
     }
 
--- a/src/test/java/pewtercourse/SystemCallFailureTest.java
+++ b/src/test/java/pewtercourse/SystemCallFailureTest.java
@@ -25,6 +25,9 @@
     private static final int DEADLINE_MS = 800;
     private static final int FAILURES = 3;
     private static final int INTERRUPTIONS = 500;
+    private static final int STOPPED_DEADLINE_MS = 3_000;
+    private static final long STOPPED_MS = 600;
+    private static final long DEADLINE_SLACK_MS = 150;
 
     @TempDir
     Path folder;
@@ -82,6 +85,28 @@
         }
     }
 
+    @Test
+    void theDeadlinePassedToACacheLeavesOutTheTimeInWhichTheDirectorWasStopped() throws Exception {
+        try (RawFrontClient client = new RawFrontClient(director.address())) {
+            assertAnsweredInTime(client, 1, "Status: 200");
+            director.signal("STOP");
+            long sentNanos = System.nanoTime();
+            client.write(RawFrontClient.request(1, "menu-page", String.format("%016x", 2), STOPPED_DEADLINE_MS));
+            Thread.sleep(STOPPED_MS);
+            director.signal("CONT");
+            assertTrue(client.readAnswer().startsWith("Status: 200"), "not served after the stop");
+            long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+            List<Long> timeouts = cache.requestFields().stream()
+                    .filter(field -> field.startsWith("Timeout-Ms: "))
+                    .map(field -> Long.parseLong(field.substring("Timeout-Ms: ".length())))
+                    .toList();
+            long leftMs = STOPPED_DEADLINE_MS - STOPPED_MS;
+            assertTrue(
+                    timeouts.get(timeouts.size() - 1) <= leftMs + DEADLINE_SLACK_MS,
+                    "passed on " + timeouts + " ms, left " + leftMs + ", answered after " + elapsedMs);
+        }
+    }
+
     @Test
     void interruptedWaitsAndShortTransfersDelayNoAnswer() throws Exception {
         try (RawFrontClient client = new RawFrontClient(director.address())) {
--- a/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
+++ b/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
@@ -133,6 +133,7 @@
                         return () -> clientGoneCount++;
                     },
                     () -> nowMicros,
+                    () -> nowMicros,
                     new Timers() {
                         @Override
                         public long set(long delayMs, Runnable callback) {
