Keep the network client of the emulated web servers referenced

Cause: FastCgiClient made a Vert.x client a connection and kept no reference; the library closes the connections of a client that is collected. Not a fault of the director: its trace has no line of that request. Fix: the reference is kept.

--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiClient.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiClient.java
@@ -4,19 +4,24 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.util.Map;
 
 /** Sends requests to a FastCGI server as a web server does, one at a time on a kept connection. */
 public final class FastCgiClient {
+    /** Kept, because the library closes the connections of a client that is not referenced any more. */
+    private final NetClient client;
+
     private final NetSocket socket;
     private final RecordReader reader = new RecordReader();
     private Promise<Buffer> answer = Promise.promise();
     private Buffer response = Buffer.buffer();
     private boolean closed;
 
-    private FastCgiClient(NetSocket socket) {
+    private FastCgiClient(NetClient client, NetSocket socket) {
+        this.client = client;
         this.socket = socket;
         socket.closeHandler(closing -> {
             closed = true;
@@ -27,7 +32,8 @@
 
     /** Connects to a server. */
     public static Future<FastCgiClient> connect(Vertx vertx, SocketAddress server) {
-        return vertx.createNetClient().connect(server).map(FastCgiClient::new);
+        NetClient client = vertx.createNetClient();
+        return client.connect(server).map(socket -> new FastCgiClient(client, socket));
     }
 
     private void read(Buffer bytes) {
@@ -62,5 +68,6 @@
     /** Closes the connection. */
     public void close() {
         socket.close();
+        client.close();
     }
 }
