Add a soak: directors under faults drawn from a seed, judged from outside

The plan is drawn from the seed, written as JSON and can be played again. soak.SoakOracle, apart from the director's code, judges answers, attempts after a leave, deadlines passed on, duplicates, drains, the cold budget over all directors, purges, readiness, limits and crashes; SoakOracleTest makes each check fail on a record that breaks it. Not in it yet: half close, slow readers, datagram loss, a member's folder (ENOSPC, EIO, torn writes), an upgrade with an inherited socket.

--- a/src/main/java/pewtercourse/CommandLine.java
+++ b/src/main/java/pewtercourse/CommandLine.java
@@ -6,6 +6,7 @@
 import pewtercourse.config.ConfigException;
 import pewtercourse.emulator.Scenario;
 import pewtercourse.experiment.Experiments;
+import pewtercourse.soak.Soak;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -117,6 +118,33 @@
             return runMeasurement(() -> Experiments.sites(into, seeds));
         }
 
+        @Command(
+                name = "soak",
+                description =
+                        "Directors as processes under faults drawn from a seed; exit code 1 if a term was broken.",
+                mixinStandardHelpOptions = true)
+        int soak(
+                @Option(
+                                names = "--seeds",
+                                paramLabel = "A..B",
+                                defaultValue = "1..1",
+                                description = "a seed, or a range")
+                        String seeds,
+                @Option(names = "--seconds", defaultValue = "30", description = "length of the load of a seed")
+                        int seconds,
+                @Option(names = "--parallel", defaultValue = "1", description = "seeds played at a time") int parallel,
+                @Option(names = "--plan", paramLabel = "FILE", description = "play this plan again instead") Path plan,
+                @Option(names = "--into", paramLabel = "FOLDER", defaultValue = "target/soak") Path into)
+                throws Exception {
+            if (plan != null) {
+                return Soak.replay(plan, into, System.out) ? EXIT_OK : EXIT_REFUSED;
+            }
+            String[] range = seeds.split("\\.\\.");
+            long first = Long.parseLong(range[0]);
+            long last = Long.parseLong(range[range.length - 1]);
+            return Soak.play(first, last, seconds, parallel, into, System.out) ? EXIT_OK : EXIT_REFUSED;
+        }
+
         private interface Measurement {
             void run() throws Exception;
         }
--- a/src/main/java/pewtercourse/emulator/CacheModel.java
+++ b/src/main/java/pewtercourse/emulator/CacheModel.java
@@ -163,7 +163,9 @@
         // Allows a few requests more than the threshold, because the number of requests varies by chance.
         double meanWork = recentWork / Math.max(1, recentRequests.size());
         double requestThreshold = collapseWork / Math.max(1, meanWork);
-        if (recentRequests.size() > requestThreshold + 3 * Math.sqrt(requestThreshold) + 3) {
+        double margin =
+                requestThreshold < 30 ? 3 * Math.sqrt(requestThreshold) + 3 : 2 * Math.sqrt(requestThreshold) + 2;
+        if (recentRequests.size() > requestThreshold + margin) {
             collapsed = true;
             coldOverloadCount++;
             copies.clear();
--- a/src/main/java/pewtercourse/emulator/Catalogue.java
+++ b/src/main/java/pewtercourse/emulator/Catalogue.java
@@ -6,9 +6,9 @@
 import pewtercourse.hash.StableHash;
 
 /** Draws the requests of clients: a class, an object by popularity, and the size of that object. Not thread-safe. */
-final class Catalogue {
+public final class Catalogue {
     /** A class of requests; an {@code uncacheable} one runs at the origin, must not be repeated and is never stored. */
-    record RequestClass(
+    public record RequestClass(
             String name,
             double share,
             double meanWorkMs,
@@ -18,29 +18,33 @@
             double worth,
             boolean uncacheable) {}
 
-    static final RequestClass[] CLASSES = {
+    /** The classes of requests. */
+    public static final RequestClass[] CLASSES = {
         new RequestClass("menu-media", 0.54, 300, 600, 2, 5_000, 2, false),
         new RequestClass("menu-page", 0.43, 50, 400, 2, 3_000, 1, false),
         new RequestClass("place-order", 0.03, 30, 600, 0, 3_000, 3, true)
     };
-    static final double KB_PER_MS = 3.4;
+    /** Rate at which a cache sends an answer to one client. */
+    public static final double KB_PER_MS = 3.4;
+
     private static final double SIZE_SIGMA = 0.6;
     private static final double POPULARITY_EXPONENT = 0.9;
 
     /** A request that a client will send. */
-    record DrawnRequest(RequestClass requestClass, String object, double sizeKb) {}
+    public record DrawnRequest(RequestClass requestClass, String object, double sizeKb) {}
 
     private final ZipfDistribution popularity;
     private final Well19937c random;
     private long orderCount;
 
-    Catalogue(long seed, int objectCount) {
+    /** Creates a catalogue that draws the same requests for the same seed. */
+    public Catalogue(long seed, int objectCount) {
         random = new Well19937c(seed);
         popularity = new ZipfDistribution(random, objectCount, POPULARITY_EXPONENT);
     }
 
     /** Draws the next request. */
-    DrawnRequest next() {
+    public DrawnRequest next() {
         double u = random.nextDouble();
         for (RequestClass c : CLASSES) {
             u -= c.share();
@@ -58,7 +62,7 @@
     }
 
     /** Draws the time until the next request, in milliseconds, at a mean rate of {@code requestsPerSecond}. */
-    double gapMs(double requestsPerSecond) {
+    public double gapMs(double requestsPerSecond) {
         return -Math.log(1 - random.nextDouble()) / requestsPerSecond * 1_000;
     }
 
--- a/src/main/java/pewtercourse/emulator/EmulatedCache.java
+++ b/src/main/java/pewtercourse/emulator/EmulatedCache.java
@@ -12,7 +12,19 @@
 import pewtercourse.WallClock;
 
 /** Serves a {@link CacheModel} over HTTP/1.1, the protocol between directors and caches. Confined to one event loop. */
-final class EmulatedCache {
+public final class EmulatedCache {
+    /** Sees the requests of a cache and its collapses. */
+    public interface Listener {
+        /** A request has arrived; called before it is handled. */
+        void requestArrived(EmulatedCache cache, HttpServerRequest request);
+
+        /** A request that must not be repeated was run. */
+        void ran(String requestId);
+
+        /** The cache has collapsed, overloaded while it was cold. */
+        void collapsed(EmulatedCache cache);
+    }
+
     private static final String HOST = "127.0.0.1";
     // Bytes that are sent over the socket for each KB of the modelled size.
     private static final int BYTES_PER_KB = 10;
@@ -28,9 +40,11 @@
     private int port;
     private int processGeneration; // Incremented when the process ends.
     private double slowdownFactor = 1;
+    private Listener listener;
     long drainingSince = Long.MAX_VALUE; // Microseconds; new attempts should stop then.
 
-    EmulatedCache(
+    /** Creates a cache that does not listen yet. */
+    public EmulatedCache(
             Vertx vertx, String name, String site, CacheModel model, UpstreamModel upstream, EmulationResults results) {
         this.vertx = vertx;
         this.name = name;
@@ -41,7 +55,7 @@
     }
 
     /** Opens the listening socket: at any free port the first time, then at the same port. */
-    Future<Void> listen() {
+    public Future<Void> listen() {
         server = vertx.createHttpServer(
                 new HttpServerOptions().setHost(HOST).setReuseAddress(true).setTcpNoDelay(true));
         server.connectionHandler(c -> {
@@ -54,12 +68,32 @@
                 .mapEmpty();
     }
 
+    /** Sets what sees the requests and collapses. */
+    public void setListener(Listener newListener) {
+        listener = newListener;
+    }
+
+    /** Name in the endpoint list. */
+    public String name() {
+        return name;
+    }
+
+    /** The model that answers the requests. */
+    public CacheModel model() {
+        return model;
+    }
+
+    /** The port at which the cache listens. */
+    public int port() {
+        return port;
+    }
+
     String address() {
         return HOST + ":" + port;
     }
 
     /** Ends the process: its connections are closed and its copies are lost. */
-    Future<Void> kill() {
+    public Future<Void> kill() {
         processGeneration++;
         model.kill();
         HttpServer stoppedServer = server;
@@ -69,7 +103,7 @@
     }
 
     /** Starts the process again at its old port, cold and without copies. */
-    Future<Void> start() {
+    public Future<Void> start() {
         model.start(now());
         slowdownFactor = 1;
         drainingSince = Long.MAX_VALUE;
@@ -82,7 +116,7 @@
     }
 
     /** Returns the monotonic time in microseconds. */
-    static long now() {
+    public static long now() {
         return System.nanoTime() / 1_000;
     }
 
@@ -96,6 +130,10 @@
             return;
         }
         results.recordAttempt(this, now);
+        int collapsesBefore = model.coldOverloadCount();
+        if (listener != null) {
+            listener.requestArrived(this, request);
+        }
         String object = path[3];
         double sizeKb = Catalogue.sizeKb(requestClass, object);
         long work = (long) (sizeKb / Catalogue.KB_PER_MS * 1_000);
@@ -107,6 +145,9 @@
                 request.getHeader("X-Fill-From") != null,
                 requestClass.uncacheable() ? 0 : retentionRank,
                 parseOrZero(request.getHeader("X-Max-Age-Ms")) * 1_000L);
+        if (listener != null && model.coldOverloadCount() > collapsesBefore) {
+            listener.collapsed(this);
+        }
         switch (answer.outcome()) {
             case DOWN -> request.connection().close();
             case FULL ->
@@ -128,6 +169,9 @@
         boolean hit = answer.outcome() == CacheModel.Outcome.HIT;
         if (requestClass.uncacheable()) {
             results.recordOrderRun(request.getHeader("Request-Id"));
+            if (listener != null) {
+                listener.ran(request.getHeader("Request-Id"));
+            }
         } else if (hit) {
             results.recordServedCopy(object, answer.bornAtMicros(), now());
         }
--- a/src/main/java/pewtercourse/emulator/EmulatedFeed.java
+++ b/src/main/java/pewtercourse/emulator/EmulatedFeed.java
@@ -13,7 +13,7 @@
 import java.util.Map;
 
 /** Serves a control feed: numbered server-sent events, and a comment every second. Confined to one event loop. */
-final class EmulatedFeed {
+public final class EmulatedFeed {
     private static final String HOST = "127.0.0.1";
 
     private final Vertx vertx;
@@ -21,12 +21,13 @@
     private final Map<HttpServerResponse, Long> followers = new HashMap<>();
     private int port;
 
-    EmulatedFeed(Vertx vertx) {
+    /** Creates a feed without events. */
+    public EmulatedFeed(Vertx vertx) {
         this.vertx = vertx;
     }
 
     /** Opens the listening socket at any free port. */
-    Future<Void> listen() {
+    public Future<Void> listen() {
         HttpServer server = vertx.createHttpServer();
         server.requestHandler(this::follow);
         vertx.setPeriodic(1_000, t -> followers.keySet().forEach(follower -> follower.write(": here\n\n")));
@@ -35,7 +36,13 @@
                 .mapEmpty();
     }
 
-    String address() {
+    /** The port at which the feed listens. */
+    public int port() {
+        return port;
+    }
+
+    /** The address at which the feed listens. */
+    public String address() {
         return HOST + ":" + port;
     }
 
@@ -55,21 +62,21 @@
     }
 
     /** Numbers an event and sends it to all followers; {@code event} has no number yet. */
-    void publish(JsonObject event) {
+    public void publish(JsonObject event) {
         JsonObject numbered = event.copy().put("n", events.size() + 1L);
         events.add(numbered);
         followers.keySet().forEach(follower -> write(follower, numbered));
     }
 
     /** Returns the events so far in the form of the key {@code known} of a director's configuration. */
-    JsonObject known() {
+    public JsonObject known() {
         JsonArray published = new JsonArray();
         events.forEach(published::add);
         return new JsonObject().put("n", events.size()).put("events", published);
     }
 
     /** Creates an event that lists hosts: all of them if {@code complete}, else only the changed ones. */
-    static JsonObject hosts(boolean complete, long sequence, List<JsonObject> hosts) {
+    public static JsonObject hosts(boolean complete, long sequence, List<JsonObject> hosts) {
         JsonArray list = new JsonArray();
         hosts.forEach(list::add);
         return new JsonObject()
--- a/src/main/java/pewtercourse/emulator/Emulation.java
+++ b/src/main/java/pewtercourse/emulator/Emulation.java
@@ -147,78 +147,14 @@
 
     /** Returns the configuration file of a director at one of the sites. */
     public JsonObject config(String name, String site, String listen) {
-        JsonArray classes = new JsonArray();
         JsonArray zones = new JsonArray().add(HUB);
         JsonArray directorsByZone = new JsonArray().add(0);
-        for (Catalogue.RequestClass requestClass : Catalogue.CLASSES) {
-            classes.add(new JsonObject()
-                    .put("Name", requestClass.name())
-                    .put("Effect", requestClass.uncacheable() ? "side_effect" : "pure")
-                    .put("Aim", requestClass.targetMs())
-                    .put("AimStretch", requestClass.stretch())
-                    .put("Deadline", requestClass.deadlineMs())
-                    .put("Worth", requestClass.worth()));
-        }
         for (SiteSpec spec : specs) {
             zones.add(spec.name());
             directorsByZone.add(1);
         }
-        JsonObject settings = new JsonObject()
-                .put("Me", 0)
-                .put("Instances", specs.size())
-                .put("Zone", site)
-                .put("Zones", zones)
-                .put("Skus", new JsonArray().add("box").add("parent").add("origin"))
-                .put("Discovery", "push")
-                .put("Weights", "silent")
-                .put("Classes", classes)
-                .put(
-                        "Domain",
-                        new JsonObject()
-                                .put("CanJoin", true)
-                                .put("ClientKbPerS", Catalogue.KB_PER_MS * 1_000)
-                                .put(
-                                        "GoesThrough",
-                                        new JsonArray().add(false).add(false).add(true))
-                                .put(
-                                        "GoodFor",
-                                        new JsonArray().add(0.0).add(8_000.0).add(0.0))
-                                .put(
-                                        "ClassGrace",
-                                        new JsonArray().add(0.0).add(20_000.0).add(0.0))
-                                .put(
-                                        "InParts",
-                                        new JsonArray().add(false).add(false).add(false))
-                                .put("MasterKind", 2)
-                                .put("MidKind", 1)
-                                .put("MayPassBy", false)
-                                .put("ParentColdFrom", 0.065)
-                                .put("ParentLimitFactor", 2.0)
-                                .put("ParentWarmsIn", 21_000.0)
-                                .put("PurgeTakes", 6_000.0)
-                                .put("Says", "hit")
-                                .put("SeatsByZone", directorsByZone)
-                                .put("Siblings", "location"))
-                .put(
-                        "Permissions",
-                        new JsonObject()
-                                .put("Cancel", true)
-                                .put("ConnectTimeout", 400.0)
-                                .put("IdleClose", 15_000.0)
-                                .put("MaxRetryAfter", 500.0)
-                                .put("MayTell", false)
-                                .put("ParallelTries", false)
-                                .put("RetryAfter", true)
-                                .put("TryLimit", 6))
-                .put(
-                        "Rules",
-                        new JsonObject()
-                                .put("AnswerSlack", 8.0)
-                                .put("ColdFrom", 0.23)
-                                .put("DrainGrace", 500.0)
-                                .put("FallMultiple", 2.0)
-                                .put("TipAfter", COLLAPSE_WINDOW_MICROS / 1e3)
-                                .put("WarmUp", WARM_UP_MICROS / 1e3));
+        JsonObject settings = new EmulatedSettings(WARM_UP_MICROS / 1e3, COLLAPSE_WINDOW_MICROS / 1e3)
+                .of(0, specs.size(), site, zones, directorsByZone);
         // With known events the director starts as one that joins a fleet at work, without the long warm-up.
         JsonObject known = runOnLoop(() -> feeds.get(site).known());
         return new JsonObject()
