Reuse the number of a last segment whose head a crash left incomplete

Operators saw: after a crash between the making of a segment and the writing of its head the member started once; every later start refused the folder (missing segment). Cause: recovery deletes such a segment, but went on numbering after it, and segments must be numbered without a gap. Evidence: aFolderWhoseLastSegmentHasNoCompleteHeadIsReadAtTheNextStartsToo failed before with StoreException.missingSegment for 0 and 3 bytes. Fix: the next segment takes the number of the deleted one.

--- a/src/main/java/pewtercourse/raft/store/SegmentFiles.java
+++ b/src/main/java/pewtercourse/raft/store/SegmentFiles.java
@@ -33,17 +33,18 @@
 
     /** Continues after the segments that were read, and removes a torn record at the end of the newest one. */
     void continueFrom(StoredLog stored) throws IOException {
+        lastIndexBySegment.putAll(stored.lastIndexBySegment());
+        nextNumber = stored.nextSegment();
         if (stored.tornTail().isPresent()) {
             removeTornTail(stored.tornTail().get());
         }
-        lastIndexBySegment.putAll(stored.lastIndexBySegment());
-        nextNumber = stored.nextSegment();
     }
 
     private void removeTornTail(StoredLog.TornTail tail) throws IOException {
         Path file = folder.segment(tail.segment());
         if (tail.completeBytes() == 0) {
             Files.delete(file);
+            nextNumber = tail.segment(); // The numbers must have no gap.
             return;
         }
         try (FileChannel segment = FileChannel.open(file, StandardOpenOption.WRITE)) {
--- a/src/test/java/pewtercourse/raft/store/LogStoreFolderTest.java
+++ b/src/test/java/pewtercourse/raft/store/LogStoreFolderTest.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.function.Executable;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import pewtercourse.raft.Entry;
 import pewtercourse.raft.Membership;
 import pewtercourse.raft.Save;
@@ -24,6 +26,7 @@
     private static final String CLUSTER = "cluster-1";
     private static final String MEMBER = "member-a";
     private static final long MAX_SEGMENT_BYTES = 400;
+    private static final Entry ENTRY = Entry.command(1, 1, new byte[1]);
     private static final Membership MEMBERS = Membership.bootstrap(Map.of(MEMBER, "127.0.0.1:7001"));
 
     @TempDir
@@ -105,6 +108,23 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {0, 3})
+    void aFolderWhoseLastSegmentHasNoCompleteHeadIsReadAtTheNextStartsToo(int bytes) throws Exception {
+        Path folder = bootstrapFolder();
+        try (LogStore store = open(folder)) {
+            store.recover();
+            store.save(List.of(new Save(1, 1, MEMBER, 0, null, List.of(ENTRY))));
+        }
+        Files.write(folder.resolve("log-3"), new byte[bytes]);
+        for (int start = 0; start < 3; start++) {
+            try (LogStore store = open(folder)) {
+                assertEquals(1, store.recover().entries().size());
+                store.save(List.of(new Save(1, 1, MEMBER, 0, null, List.of())));
+            }
+        }
+    }
+
     @Test
     void rejectsInspectingAFolderWithoutData() throws Exception {
         assertFalse(LogStore.holdsData(temporary));
