Let the soak start another program, and allow for times in whole milliseconds

Some of the old purge violations were by 1 ms: the timestamp of a purge and the age asked for are whole milliseconds, so the check allows 2 ms.

--- a/src/main/java/pewtercourse/CommandLine.java
+++ b/src/main/java/pewtercourse/CommandLine.java
@@ -134,15 +134,18 @@
                         int seconds,
                 @Option(names = "--parallel", defaultValue = "1", description = "seeds played at a time") int parallel,
                 @Option(names = "--plan", paramLabel = "FILE", description = "play this plan again instead") Path plan,
+                @Option(names = "--jar", paramLabel = "FILE", description = "the directors' program; else this one")
+                        Path jar,
                 @Option(names = "--into", paramLabel = "FOLDER", defaultValue = "target/soak") Path into)
                 throws Exception {
+            String classPath = jar == null ? System.getProperty("java.class.path") : jar.toString();
             if (plan != null) {
-                return Soak.replay(plan, into, System.out) ? EXIT_OK : EXIT_REFUSED;
+                return Soak.replay(plan, classPath, into, System.out) ? EXIT_OK : EXIT_REFUSED;
             }
             String[] range = seeds.split("\\.\\.");
             long first = Long.parseLong(range[0]);
             long last = Long.parseLong(range[range.length - 1]);
-            return Soak.play(first, last, seconds, parallel, into, System.out) ? EXIT_OK : EXIT_REFUSED;
+            return Soak.play(first, last, seconds, parallel, classPath, into, System.out) ? EXIT_OK : EXIT_REFUSED;
         }
 
         private interface Measurement {
--- a/src/main/java/pewtercourse/soak/DirectorInstance.java
+++ b/src/main/java/pewtercourse/soak/DirectorInstance.java
@@ -34,6 +34,7 @@
 
     private final Path folder;
     private final int heapMb;
+    private final String classPath;
     State state = State.ENDED;
     long startedAt;
     long terminatedAt;
@@ -43,12 +44,13 @@
     private Process process;
     private int starts;
 
-    DirectorInstance(int number, String listen, Path folder, SystemFaults faults, int memoryMb) {
+    DirectorInstance(int number, String listen, Path folder, SystemFaults faults, int memoryMb, String classPath) {
         this.number = number;
         this.listen = listen;
         this.folder = folder;
         this.faults = faults;
         this.heapMb = memoryMb * 2 / 5;
+        this.classPath = classPath;
     }
 
     /** Writes the configuration, which a running process reads again at SIGHUP. */
@@ -74,7 +76,7 @@
                 "-XX:MaxDirectMemorySize=27m",
                 "-Dpewtercourse.trace=true",
                 "-cp",
-                System.getProperty("java.class.path"),
+                classPath,
                 "pewtercourse.Main",
                 "serve");
         builder.environment()
--- a/src/main/java/pewtercourse/soak/Soak.java
+++ b/src/main/java/pewtercourse/soak/Soak.java
@@ -21,29 +21,33 @@
      *
      * @param into folder for logs, configurations and plans, one folder a seed
      * @param parallel number of plans that are played at the same time
+     * @param classPath class path of the directors
      * @return whether all terms were kept
      */
-    public static boolean play(long firstSeed, long lastSeed, int seconds, int parallel, Path into, PrintStream out)
+    public static boolean play(
+            long firstSeed, long lastSeed, int seconds, int parallel, String classPath, Path into, PrintStream out)
             throws Exception {
         return play(
                 LongStream.rangeClosed(firstSeed, lastSeed)
                         .mapToObj(seed -> FaultPlan.draw(seed, seconds))
                         .toList(),
                 parallel,
+                classPath,
                 into,
                 out);
     }
 
     /** Plays the plan of a file again. */
-    public static boolean replay(Path plan, Path into, PrintStream out) throws Exception {
-        return play(List.of(FaultPlan.fromJson(new JsonObject(Files.readString(plan)))), 1, into, out);
+    public static boolean replay(Path plan, String classPath, Path into, PrintStream out) throws Exception {
+        return play(List.of(FaultPlan.fromJson(new JsonObject(Files.readString(plan)))), 1, classPath, into, out);
     }
 
-    private static boolean play(List<FaultPlan> plans, int parallel, Path into, PrintStream out) throws Exception {
+    private static boolean play(List<FaultPlan> plans, int parallel, String classPath, Path into, PrintStream out)
+            throws Exception {
         ExecutorService threads = Executors.newFixedThreadPool(parallel);
         List<Future<SoakResult>> results = new ArrayList<>();
         for (FaultPlan plan : plans) {
-            results.add(threads.submit(() -> playOne(plan, into.resolve("seed-" + plan.seed()))));
+            results.add(threads.submit(() -> playOne(plan, classPath, into.resolve("seed-" + plan.seed()))));
         }
         threads.shutdown();
         int failed = 0;
@@ -62,8 +66,8 @@
     }
 
     /** Plays one plan. */
-    public static SoakResult playOne(FaultPlan plan, Path folder) throws Exception {
-        try (SoakRun run = new SoakRun(plan, folder)) {
+    public static SoakResult playOne(FaultPlan plan, String classPath, Path folder) throws Exception {
+        try (SoakRun run = new SoakRun(plan, folder, classPath)) {
             return run.play();
         }
     }
--- a/src/main/java/pewtercourse/soak/SoakOracle.java
+++ b/src/main/java/pewtercourse/soak/SoakOracle.java
@@ -49,6 +49,9 @@
     static final long DRAIN_GRACE = 550_000;
     static final long PURGE_NOTICE = 1_050_000;
     static final long PURGE_PROPAGATION = 6_000_000;
+    /** Timestamps and ages are whole milliseconds on the wire. */
+    static final long TIMESTAMP_ROUNDING = 2_000;
+
     static final long COLD_WINDOW = 1_500_000;
     static final long READY_WITHIN = 10_000_000;
     private static final long REMEMBERED = 20_000_000;
@@ -214,7 +217,7 @@
                 && notified != null
                 && at > notified + PURGE_NOTICE + slack
                 && at < purged + PURGE_PROPAGATION - slack;
-        if (binding && (maxAgeMicros == 0 || maxAgeMicros > at - purged + slack)) {
+        if (binding && (maxAgeMicros == 0 || maxAgeMicros > at - purged + TIMESTAMP_ROUNDING + slack)) {
             violated(
                     Term.PURGE,
                     at,
--- a/src/main/java/pewtercourse/soak/SoakRun.java
+++ b/src/main/java/pewtercourse/soak/SoakRun.java
@@ -58,6 +58,7 @@
 
     private final FaultPlan plan;
     private final Path folder;
+    private final String classPath;
     private final Vertx vertx = Vertx.vertx();
     private final Context loop = vertx.getOrCreateContext();
     private final NetClient proxyClient = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true));
@@ -77,7 +78,9 @@
     private long lag;
     private long lagAt;
 
-    SoakRun(FaultPlan plan, Path folder) {
+    /** Creates a run whose directors are started from this class path. */
+    SoakRun(FaultPlan plan, Path folder, String classPath) {
+        this.classPath = classPath;
         this.plan = plan;
         this.folder = folder;
         this.sequences = new long[plan.directors()];
@@ -210,7 +213,8 @@
 
     private void createDirector(int number, Path library) throws Exception {
         SystemFaults faults = library == null ? null : SystemFaults.of(library, folder.resolve("faults-" + number));
-        DirectorInstance director = new DirectorInstance(number, directorAddress(number), folder, faults, MEMORY_MB);
+        DirectorInstance director =
+                new DirectorInstance(number, directorAddress(number), folder, faults, MEMORY_MB, classPath);
         directors.add(director);
         clients.add(onLoop(() -> new SoakClients(
                 vertx,
