Count an attempt that was given up for 3 s, not 10 s

Where clients leave in a burst the budget of a cold cache was taken up by cancelled attempts, nothing could be sent that would have confirmed them, and the cache got nothing for 10 s. The platform counts the longest deadline as 3 s at most; connections come up 1.5 s late at the most. Measured: the fault tests of the virtual zone pass (8 cases).

--- a/src/main/java/pewtercourse/decision/SlowStartLedger.java
+++ b/src/main/java/pewtercourse/decision/SlowStartLedger.java
@@ -14,7 +14,7 @@
  */
 final class SlowStartLedger {
     /** How long the bytes of an attempt that was given up without an answer may stay on the way. */
-    private static final long MAX_TIME_ON_THE_WAY = 10_000_000;
+    private static final long MAX_TIME_ON_THE_WAY = 3_000_000;
 
     /** Work that was sent in one attempt to one endpoint. */
     static final class Charge {
