Let any answer of a cache confirm what was given up before it

Cause: where clients leave in a burst, cancelled attempts took up a cold cache's small budget until one sent after them was answered, which the budget did not allow. Fix: an answer shows that the way to the cache is open; what was given up before it counts as arrived then, and what is given up after an answer that came since it was sent counts from its end.

--- a/src/main/java/pewtercourse/decision/SlowStartLedger.java
+++ b/src/main/java/pewtercourse/decision/SlowStartLedger.java
@@ -39,6 +39,7 @@
 
         int charges;
         double work;
+        long lastAnswerAt = Long.MIN_VALUE;
 
         void end(Charge charge, long latestArrival) {
             charge.ended = true;
@@ -71,8 +72,8 @@
     }
 
     /**
-     * Notes that the attempt of a charge was answered. What was sent to the endpoint before it has arrived too, or never
-     * will.
+     * Notes that the attempt of a charge was answered. The way to the endpoint is open: what was given up before has arrived
+     * too, or never will.
      *
      * @param latestArrival the latest time at which the attempt may have arrived
      */
@@ -81,23 +82,30 @@
             return;
         }
         Account account = accounts.get(charge.endpointId);
+        account.lastAnswerAt = now;
         account.end(charge, latestArrival);
-        account.unconfirmed.removeIf(earlier -> {
-            boolean confirmed = earlier.sentAt <= charge.sentAt;
-            if (confirmed && account.ended.remove(earlier)) {
-                account.end(earlier, Math.min(now, earlier.latestArrival));
-            }
-            return confirmed;
-        });
+        for (Charge earlier : account.unconfirmed) {
+            account.ended.remove(earlier);
+            account.end(earlier, now);
+        }
+        account.unconfirmed.clear();
     }
 
-    /** Notes that the attempt of a charge was given up without an answer: its bytes may still be on the way. */
+    /**
+     * Notes that the attempt of a charge was given up without an answer. Unless the endpoint has answered another one since
+     * it was sent, its bytes may still be on the way.
+     */
     void abandon(Charge charge, long now) {
-        if (!charge.ended) {
-            Account account = accounts.get(charge.endpointId);
-            account.end(charge, now + MAX_TIME_ON_THE_WAY);
-            account.unconfirmed.add(charge);
+        if (charge.ended) {
+            return;
+        }
+        Account account = accounts.get(charge.endpointId);
+        if (account.lastAnswerAt >= charge.sentAt) {
+            account.end(charge, now);
+            return;
         }
+        account.end(charge, now + MAX_TIME_ON_THE_WAY);
+        account.unconfirmed.add(charge);
     }
 
     /** Removes the charge of an attempt that did not reach the endpoint and never will. */
