Do not compare a listed start with the wall clock's time of a drain

Same class as the incident: a reinstated cache counts as just started unless the feed has given a new start during the drain. That was told by comparing the feed's time with the wall clock at the drain and at the reinstatement; with the clock set back before either a cold cache counted as warm. Now the listed starts themselves are compared. Both new examples of ServiceRegistryModelTest failed on the comparison by reading only; they pass, with the other two.

--- a/src/main/java/pewtercourse/director/ServiceRegistry.java
+++ b/src/main/java/pewtercourse/director/ServiceRegistry.java
@@ -99,6 +99,11 @@
                 .orElse(null);
     }
 
+    private long listedStart(String name) {
+        WatchedEndpoint endpoint = endpointNamed(name);
+        return endpoint == null ? 0 : endpoint.startedMs();
+    }
+
     /** Whether an endpoint of this name is listed or drained. */
     boolean knowsEndpoint(String name) {
         return endpointNamed(name) != null || drains.isDrained(name);
@@ -138,7 +143,7 @@
 
     /** Drains an endpoint; returns the event for a router, or null if nothing changes. */
     EndpointsChanged drainEndpoint(String name, long nowMs) {
-        return drains.drain(name, nowMs) ? reportChange(endpointNamed(name)) : null;
+        return drains.drain(name, listedStart(name), nowMs) ? reportChange(endpointNamed(name)) : null;
     }
 
     /**
@@ -146,16 +151,13 @@
      * listed, or null if nothing changes.
      */
     EndpointsChanged reinstateEndpoint(String name, long nowMs) {
-        WatchedEndpoint endpoint = endpointNamed(name);
-        return drains.reinstate(name, endpoint == null ? 0 : endpoint.startedMs(), nowMs)
-                ? reportChange(endpoint)
-                : null;
+        return drains.reinstate(name, listedStart(name), nowMs) ? reportChange(endpointNamed(name)) : null;
     }
 
     /** Adopts the drains and reinstatements of another process; returns the event for a router. */
     EndpointsChanged adoptDrains(Map<String, Long> drained, Map<String, Long> reinstated, long nowMs) {
         List<Endpoint> changed = new ArrayList<>();
-        for (String name : drains.adopt(drained, reinstated, nowMs)) {
+        for (String name : drains.adopt(drained, reinstated, this::listedStart, nowMs)) {
             changed.addAll(reportChange(endpointNamed(name)).endpoints());
         }
         return new EndpointsChanged(EndpointUpdateKind.DELTA, changed);
--- a/src/test/java/pewtercourse/director/ServiceRegistryModelTest.java
+++ b/src/test/java/pewtercourse/director/ServiceRegistryModelTest.java
@@ -160,6 +160,26 @@
                 .ofMaxSize(40);
     }
 
+    @Example
+    void aReinstatedEndpointIsInSlowStartThoughItsDrainWasCalledWithTheClockSetBack() {
+        applyToRouter(registry.apply(
+                new WatchEvent.EndpointUpdate(1, true, List.of(endpoint(1, EndpointLifecycle.READY, now)))));
+        now += 30_000;
+        applyToRouter(registry.drainEndpoint("s-1", now - 3_600_000));
+        applyToRouter(registry.reinstateEndpoint("s-1", now));
+        assertEquals(now * 1000, routerEndpoints.get(1L).startedAt());
+    }
+
+    @Example
+    void aReinstatedEndpointIsInSlowStartThoughTheClockWasSetBackBeforeItsReinstatement() {
+        applyToRouter(registry.apply(
+                new WatchEvent.EndpointUpdate(1, true, List.of(endpoint(1, EndpointLifecycle.READY, now)))));
+        now += 30_000;
+        applyToRouter(registry.drainEndpoint("s-1", now));
+        applyToRouter(registry.reinstateEndpoint("s-1", now - 600_000));
+        assertEquals(now * 1000, routerEndpoints.get(1L).startedAt());
+    }
+
     @Example
     void oneReinstatementEndsARepeatedDrainAndKeepsTheListedStart() {
         applyToRouter(registry.apply(
