--- a/src/main/java/pewtercourse/soak/SoakRun.java
+++ b/src/main/java/pewtercourse/soak/SoakRun.java
@@ -226,10 +226,10 @@
                 plan.requestsPerSecond() / plan.directors())));
     }
 
-    // An address of its own for each plan, and a port that the system gives to no connection.
+    // An address of its own for each plan and soak process, and a port that the system gives to no connection.
     private String directorAddress(int number) {
         long last = Math.floorMod(plan.seed(), 250L);
-        long middle = Math.floorMod(plan.seed() / 250, 250L);
+        long middle = Math.floorMod(ProcessHandle.current().pid(), 250L);
         return "127.91." + middle + '.' + (last + 1) + ':' + (FIRST_PORT + number);
     }
 
