--- a/review/src/PurgeCase.java
+++ b/review/src/PurgeCase.java
@@ -14,12 +14,12 @@
  */
 final class PurgeCase {
     private static final int OBJECTS = 40;
-    private static final int PURGE_EACH_MS = 500;
+    private static final int PURGE_EACH_MS = 1_000;
     private static final int REQUEST_EACH_MS = 20;
     private static final long PURGE_TAKES_MS = 6_000;
     private static final long NOTICE_MS = 1_000 + 50;
     private static final int BEFORE_LOSS_MS = 5_000;
-    private static final int AFTER_LOSS_MS = 8_000;
+    private static final int AFTER_LOSS_MS = 5_000;
 
     private record Purge(long at, double told) {}
 
@@ -121,7 +121,7 @@
             for (int i = 0; i < 3; i++) {
                 Director director = new Director(root, "d" + (i + 1), record);
                 directors.add(director);
-                director.writeConfig(Settings.canteen(director, feed)
+                director.writeConfig(Settings.booking(director, feed)
                         .replace("\"Me\":0,\"Instances\":1,\"Zone\":\"edge-1\",\"Zones\":[\"north\",\"edge-1\"]",
                                 "\"Me\":" + i + ",\"Instances\":3,\"Zone\":\"edge-" + (i + 1)
                                         + "\",\"Zones\":[\"north\",\"edge-1\",\"edge-2\",\"edge-3\"]")
@@ -185,7 +185,7 @@
                     String id = String.format("9e75%012x", sent);
                     client.send(
                             1 + sent % 30_000,
-                            Settings.request("menu-media", id, object(sent * 7 % OBJECTS), 2_000),
+                            Settings.request("small-file", id, object(sent * 7 % OBJECTS), 2_000),
                             new byte[0]);
                     Thread.sleep(REQUEST_EACH_MS);
                 }
@@ -211,7 +211,7 @@
             members.append(i == 0 ? "" : ",")
                     .append("{\"name\":\"d" + (i + 1) + "\",\"address\":\"127.0.0.1:" + ports[i] + "\"}");
         }
-        return "{\"cluster\":\"canteen-menus\",\"name\":\"" + director.name + "\",\"listen\":\"127.0.0.1:" + ports[index]
+        return "{\"cluster\":\"kiln-booking-net\",\"name\":\"" + director.name + "\",\"listen\":\"127.0.0.1:" + ports[index]
                 + "\",\"data\":\"" + director.folder.resolve("data") + "\",\"members\":[" + members
                 + "],\"heartbeat_ms\":50,\"election_ms\":[300,600],\"lease_ms\":2000,\"drift\":0.01,"
                 + "\"duties\":{\"maintenance\":{\"share\":0.25,\"out_most_ms\":3600000,\"beyond\":\"wait\"},"
