--- a/review/src/BurstCase.java
+++ b/review/src/BurstCase.java
@@ -21,7 +21,7 @@
     private static final int SLACK_MS = 550; // Half a second, and 50 ms on sockets.
 
     public static void main(String[] args) {
-        Site.run(args, folder -> {
+        Site.run(args, recordFile -> {
             byte[] object = new byte[OBJECT_BYTES];
             Arrays.fill(object, (byte) 'x');
             AtomicInteger attempts = new AtomicInteger();
@@ -41,7 +41,7 @@
                     socket.getOutputStream().write(object, offset, Math.min(8_000, object.length - offset));
                 }
             };
-            try (Site site = new Site(folder, 12, behaviour)) {
+            try (Site site = new Site(recordFile, 12, behaviour)) {
                 site.director.writeConfig(Settings.canteen(site.director, site.feed));
                 site.director.start(Map.of());
                 if (!site.director.awaitAlive(30_000)) {
--- a/review/src/CacheServer.java
+++ b/review/src/CacheServer.java
@@ -15,7 +15,7 @@
 /** A cache, parent or origin: HTTP/1.1, one request at a time on a connection. */
 final class CacheServer implements AutoCloseable {
     /** One request as it arrived. */
-    record Request(String path, Map<String, String> fields, byte[] body) {
+    record Request(String path, Map<String, String> fields, byte[] body, long firstByteAt) {
         String field(String name) {
             return fields.get(name.toLowerCase(Locale.ROOT));
         }
@@ -81,7 +81,9 @@
     }
 
     private static Request read(InputStream in) throws IOException {
-        String start = line(in);
+        int first = in.read();
+        long firstByteAt = System.nanoTime();
+        String start = first < 0 ? null : line(in);
         if (start == null) {
             return null;
         }
@@ -91,7 +93,7 @@
             fields.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
         }
         byte[] body = in.readNBytes(Integer.parseInt(fields.getOrDefault("content-length", "0")));
-        return new Request(start.split(" ")[1], fields, body);
+        return new Request(start.split(" ")[1], fields, body, firstByteAt);
     }
 
     private static String line(InputStream in) throws IOException {
--- a/review/src/KeyCase.java
+++ b/review/src/KeyCase.java
@@ -37,7 +37,7 @@
     }
 
     public static void main(String[] args) {
-        Site.run(args, folder -> {
+        Site.run(args, recordFile -> {
             Origin origin = new Origin();
             AtomicInteger reached = new AtomicInteger();
             AtomicBoolean died = new AtomicBoolean();
@@ -69,7 +69,7 @@
                         "X-Born-Ms", String.valueOf(System.currentTimeMillis()),
                         "Outcome", "parent");
             };
-            try (Site site = new Site(folder, BOXES, behaviour)) {
+            try (Site site = new Site(recordFile, BOXES, behaviour)) {
                 self[0] = site;
                 site.director.writeConfig(Settings.booking(site.director, site.feed));
                 site.director.start(Map.of());
--- a/review/src/PurgeCase.java
+++ b/review/src/PurgeCase.java
@@ -39,7 +39,7 @@
 
         @Override
         public void answer(CacheServer cache, CacheServer.Request request, java.net.Socket socket) throws IOException {
-            double arrivedAt = record.now();
+            double arrivedAt = record.at(request.firstByteAt()); // A send counts from its first byte.
             long now = System.currentTimeMillis();
             String object = request.path().split("/")[3];
             Purge purge = purges.get(object);
@@ -79,18 +79,18 @@
     }
 
     public static void main(String[] args) {
-        Site.run(args, folder -> new PurgeCase().play(folder));
+        Site.run(args, recordFile -> new PurgeCase().play(recordFile));
     }
 
     private static String object(int i) {
         return String.format("0b1ec70000%06x", i);
     }
 
-    private int play(Path folder) throws Exception {
+    private int play(Path recordFile) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        record = new Recorder(folder.resolve("record.txt"));
+        record = new Recorder(recordFile);
         record.note("trouble: %s", trouble);
-        Path root = folder.toAbsolutePath().normalize().getParent().getParent();
+        Path root = Site.root();
         Feed feed = new Feed();
         List<CacheServer> servers = new ArrayList<>();
         List<CacheServer> ownCaches = new ArrayList<>();
--- a/review/src/Recorder.java
+++ b/review/src/Recorder.java
@@ -16,7 +16,12 @@
 
     /** Milliseconds since the start, on the monotonic clock. */
     double now() {
-        return (System.nanoTime() - startedAt) / 1e6;
+        return at(System.nanoTime());
+    }
+
+    /** The same for a time of System.nanoTime. */
+    double at(long nanoTime) {
+        return (nanoTime - startedAt) / 1e6;
     }
 
     synchronized void note(String format, Object... args) {
--- a/review/src/Site.java
+++ b/review/src/Site.java
@@ -13,8 +13,8 @@
     final Director director;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 
-    Site(Path caseFolder, int cacheCount, CacheServer.Behaviour behaviour) throws IOException {
-        record = new Recorder(caseFolder.resolve("record.txt"));
+    Site(Path recordFile, int cacheCount, CacheServer.Behaviour behaviour) throws IOException {
+        record = new Recorder(recordFile);
         record.note("trouble: %s", trouble);
         List<String> hosts = new ArrayList<>();
         for (int i = 0; i < cacheCount; i++) {
@@ -27,8 +27,7 @@
         hosts.add(Feed.host(parent.name, parent.port, "north", "parent", "Ready"));
         hosts.add(Feed.host(origin.name, origin.port, "north", "origin", "Ready"));
         feed.add(Feed.members(1, true, hosts.toArray(new String[0])));
-        // The program's folder is two above the case's.
-        director = new Director(caseFolder.toAbsolutePath().normalize().getParent().getParent(), "n0", record);
+        director = new Director(root(), "n0", record);
     }
 
     @Override
@@ -43,19 +42,27 @@
         record.close();
     }
 
-    /** Ends the process with the verdict of a case: 0 held, 1 broken, 2 could not run. */
+    /** The program's folder: `run.sh` starts a case in it. */
+    static Path root() {
+        return Path.of("").toAbsolutePath();
+    }
+
+    /**
+     * Plays a case, whose one argument is the file of its record, and ends the process. The codes are not those of `run.sh`,
+     * as a JVM that could not run ends with 1 by itself: 10 held, 11 broken, 12 could not run.
+     */
     static void run(String[] args, Case body) {
         int verdict = 2;
         try {
             verdict = body.play(Path.of(args[0]));
-        } catch (Exception e) {
+        } catch (Throwable e) {
             e.printStackTrace();
         }
         System.out.println(verdict == 0 ? "held" : verdict == 1 ? "broken" : "could not run");
-        System.exit(verdict);
+        System.exit(10 + verdict);
     }
 
     interface Case {
-        int play(Path folder) throws Exception;
+        int play(Path recordFile) throws Exception;
     }
 }
--- a/review/src/SlowReaderProbe.java
+++ b/review/src/SlowReaderProbe.java
@@ -14,7 +14,7 @@
     private static final int SLOW_BYTES_PER_SECOND = 500_000;
 
     public static void main(String[] args) {
-        Site.run(args, folder -> {
+        Site.run(args, recordFile -> {
             byte[] object = new byte[OBJECT_BYTES];
             Arrays.fill(object, (byte) 'x');
             Site[] self = new Site[1];
@@ -29,7 +29,7 @@
                         "X-Born-Ms", String.valueOf(System.currentTimeMillis()),
                         "Outcome", "mem");
             };
-            try (Site site = new Site(folder, 4, behaviour)) {
+            try (Site site = new Site(recordFile, 4, behaviour)) {
                 self[0] = site;
                 site.director.writeConfig(Settings.canteen(site.director, site.feed));
                 site.director.start(Map.of());
