review: objects of case 2 and of the probe differ in bytes and tag

All objects had one tag, so that the director took some answers for second copies of the one before and refused them.

--- a/review/src/BurstCase.java
+++ b/review/src/BurstCase.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -20,18 +21,26 @@
     private static final int DEADLINE_MS = 5_000;
     private static final int SLACK_MS = 550; // Half a second, and 50 ms on sockets.
 
+    /** Bytes that no other object has. */
+    private static byte[] object(String path) {
+        byte[] bytes = new byte[OBJECT_BYTES];
+        Arrays.fill(bytes, (byte) 'x');
+        byte[] name = path.getBytes(StandardCharsets.UTF_8);
+        System.arraycopy(name, 0, bytes, 0, name.length);
+        return bytes;
+    }
+
     public static void main(String[] args) {
         Site.run(args, recordFile -> {
-            byte[] object = new byte[OBJECT_BYTES];
-            Arrays.fill(object, (byte) 'x');
             AtomicInteger attempts = new AtomicInteger();
             CacheServer.Behaviour behaviour = (cache, request, socket) -> {
+                byte[] object = object(request.path());
                 attempts.incrementAndGet();
                 socket.getOutputStream()
                         .write(CacheServer.head(
                                 200,
                                 object.length,
-                                "ETag", "4be0c1927d55a6f3",
+                                "ETag", String.format("%016x", request.path().hashCode() & 0xffffffffL),
                                 "X-Born-Ms", String.valueOf(System.currentTimeMillis()),
                                 "Outcome", "mem"));
                 long startedAt = System.nanoTime();
--- a/review/src/SlowReaderProbe.java
+++ b/review/src/SlowReaderProbe.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Map;
@@ -13,19 +14,27 @@
     private static final int OBJECT_BYTES = 240_000;
     private static final int SLOW_BYTES_PER_SECOND = 500_000;
 
+    /** Bytes that no other object has. */
+    private static byte[] object(String path) {
+        byte[] bytes = new byte[OBJECT_BYTES];
+        Arrays.fill(bytes, (byte) 'x');
+        byte[] name = path.getBytes(StandardCharsets.UTF_8);
+        System.arraycopy(name, 0, bytes, 0, name.length);
+        return bytes;
+    }
+
     public static void main(String[] args) {
         Site.run(args, recordFile -> {
-            byte[] object = new byte[OBJECT_BYTES];
-            Arrays.fill(object, (byte) 'x');
             Site[] self = new Site[1];
             CacheServer.Behaviour behaviour = (cache, request, socket) -> {
+                byte[] object = object(request.path());
                 Thread.sleep(10);
                 self[0].record.note("attempt of %s at %s, answered whole", request.field("Request-Id"), cache.name);
                 CacheServer.reply(
                         socket,
                         200,
                         object,
-                        "ETag", "4be0c1927d55a6f3",
+                        "ETag", String.format("%016x", request.path().hashCode() & 0xffffffffL),
                         "X-Born-Ms", String.valueOf(System.currentTimeMillis()),
                         "Outcome", "mem");
             };
