Pass the client's idempotency key on, and repeat a keyed request only with one

Cause: nobody read X-Operation-Key. CgiRequest and ClientRequest had no field for it, CacheRequest wrote no Once-Key, and IdempotencyRules nevertheless took the class as one whose repeats are dropped by key.

Change: the key is decoded, carried and written unchanged, in each class. Whether a repeat is dropped is decided by the request: without a key a request of a keyed class is repeated no more than one with a side effect. A key with a blank, a control character, a line end or more than 255 characters fails its request at once, as it would stand in a header field. The simulator's wire shows no keys, so there each request counts as an operation of its own.

Why it works: the origin sees the same key with each attempt and drops the repeat, and where there is no key there is no repeat.

--- a/src/main/java/pewtercourse/cache/CacheRequest.java
+++ b/src/main/java/pewtercourse/cache/CacheRequest.java
@@ -10,6 +10,7 @@
  * @param className           class of the request
  * @param object              key of the object
  * @param part                number of the object's part
+ * @param idempotencyKey      the client's key, by which repeats are dropped; null if there is none
  * @param body                body of the client's request; may be empty
  * @param fillSource          name of the endpoint that a miss is filled from; null for no fill
  * @param retentionRank       0: the object is not to be stored; 1 to 3: how much its copy is worth
@@ -25,6 +26,7 @@
         String className,
         String object,
         int part,
+        String idempotencyKey,
         Buffer body,
         String fillSource,
         int retentionRank,
@@ -61,6 +63,7 @@
         appendField(head, "Host", host);
         appendField(head, "Request-Id", id);
         appendField(head, "Timeout-Ms", String.valueOf(timeoutMs));
+        appendField(head, "Once-Key", idempotencyKey);
         appendField(head, "X-Fill-From", fillSource);
         appendField(head, "X-Keep", retentionRank > 0 ? String.valueOf(retentionRank) : null);
         appendField(head, "X-Max-Age-Ms", maxAgeMs > 0 ? String.valueOf(maxAgeMs) : null);
--- a/src/main/java/pewtercourse/decision/Idempotency.java
+++ b/src/main/java/pewtercourse/decision/Idempotency.java
@@ -4,7 +4,10 @@
 public enum Idempotency {
     /** None: the request has no effect (a read). */
     SAFE,
-    /** None at caches that remember the idempotency key; see {@link DeduplicationScope}. */
+    /**
+     * None at caches that remember the request's idempotency key; see {@link DeduplicationScope}. A request of such a class
+     * that came without a key is {@link #NON_IDEMPOTENT}.
+     */
     IDEMPOTENCY_KEY,
     /** The request takes effect once more. */
     NON_IDEMPOTENT
--- a/src/main/java/pewtercourse/decision/IdempotencyRules.java
+++ b/src/main/java/pewtercourse/decision/IdempotencyRules.java
@@ -18,7 +18,7 @@
             return true;
         }
         RequestClass requestClass = request.requestClass;
-        if (requestClass.idempotency() == Idempotency.NON_IDEMPOTENT
+        if (request.idempotency() == Idempotency.NON_IDEMPOTENT
                 || request.attemptsInFlight > 0 && !parallelAllowed
                 || context.now() >= request.firstRunSentAt() + requestClass.idempotencyWindow()) {
             return false;
--- a/src/main/java/pewtercourse/decision/RequestArrived.java
+++ b/src/main/java/pewtercourse/decision/RequestArrived.java
@@ -10,6 +10,8 @@
  * @param sizeKb size of the answer in kilobytes, 0 if unknown
  * @param expiresAt time at which the client stops waiting
  * @param clientRetry whether the client marked the request as a retry
+ * @param idempotencyKey the client's key, by which caches drop a repeat; null if the client sent none
+ * @param write whether the request changes the object
  */
 public record RequestArrived(
         long requestId,
@@ -20,6 +22,7 @@
         double sizeKb,
         long expiresAt,
         boolean clientRetry,
+        String idempotencyKey,
         boolean write)
         implements RouterEvent {
     @Override
--- a/src/main/java/pewtercourse/decision/RequestState.java
+++ b/src/main/java/pewtercourse/decision/RequestState.java
@@ -58,6 +58,13 @@
         return requestClass.isSafe();
     }
 
+    /** The effect of sending this request a second time. Without a key, nothing drops a repeat of a keyed class. */
+    Idempotency idempotency() {
+        boolean lacksKey =
+                requestClass.idempotency() == Idempotency.IDEMPOTENCY_KEY && arrival.idempotencyKey() == null;
+        return lacksKey ? Idempotency.NON_IDEMPOTENT : requestClass.idempotency();
+    }
+
     /** Whether the answer may be stored. */
     boolean isCacheable() {
         return !requestClass.uncacheable() && !arrival.write();
@@ -99,7 +106,7 @@
 
     /** Whether the request certainly had no effect or may safely be repeated anywhere. */
     boolean isHarmlessToReject() {
-        boolean repeatable = requestClass.idempotency() == Idempotency.IDEMPOTENCY_KEY
+        boolean repeatable = idempotency() == Idempotency.IDEMPOTENCY_KEY
                 && requestClass.deduplicationScope() == DeduplicationScope.ALL;
         return isSafe() || firstRunEndpoint == null || repeatable;
     }
--- a/src/main/java/pewtercourse/director/ProxiedRequest.java
+++ b/src/main/java/pewtercourse/director/ProxiedRequest.java
@@ -98,6 +98,7 @@
                 request.sizeKb(),
                 deadline,
                 false,
+                request.idempotencyKey(),
                 director.siteSettings.router().classes().get(classIndex).uncacheable());
         queue.enqueue(arrival);
     }
@@ -130,6 +131,7 @@
                 request.className(),
                 request.object(),
                 request.part(),
+                request.idempotencyKey(),
                 request.body(),
                 source == null ? null : source.name(),
                 retentionRank(send),
--- a/src/main/java/pewtercourse/experiment/SitesSim.java
+++ b/src/main/java/pewtercourse/experiment/SitesSim.java
@@ -347,6 +347,7 @@
                     request.work / (double) MS * KB_PER_WORK_MS,
                     request.deadline - 100 * MS,
                     false,
+                    null,
                     CLASSES[request.classIndex].uncacheable()));
         }
 
--- a/src/main/java/pewtercourse/front/ClientRequest.java
+++ b/src/main/java/pewtercourse/front/ClientRequest.java
@@ -6,6 +6,7 @@
  * A client's complete request, independent of the protocol.
  *
  * @param knownTag the tag of a copy that the client has, or null
+ * @param idempotencyKey the same for all tries of one operation, or null; printable ASCII without blanks
  * @param receivedAtMicros the clock in microseconds when the last byte was read
  * @param deadlineMs how long the client waits for the answer from then on
  */
@@ -17,6 +18,7 @@
         int group,
         double sizeKb,
         String knownTag,
+        String idempotencyKey,
         Buffer body,
         long receivedAtMicros,
         double deadlineMs) {}
--- a/src/main/java/pewtercourse/front/fastcgi/CgiRequest.java
+++ b/src/main/java/pewtercourse/front/fastcgi/CgiRequest.java
@@ -16,6 +16,7 @@
     private static final double MAX_SIZE_KB = 100_000;
     private static final int MAX_GROUP = 255;
     private static final int MAX_TAG_LENGTH = 64;
+    private static final int MAX_IDEMPOTENCY_KEY_LENGTH = 255;
     private static final Pattern PLAIN_NUMBER = Pattern.compile("[0-9]+(\\.[0-9]+)?");
 
     private CgiRequest() {}
@@ -43,22 +44,25 @@
                 integer(params, "HTTP_X_CHUNK", Integer.MAX_VALUE),
                 integer(params, "HTTP_X_TAG", MAX_GROUP),
                 number(params, "HTTP_X_NEED_KB", MAX_SIZE_KB, 0),
-                clientTag(params.get("HTTP_X_KNOWN")),
+                headerToken(params, "HTTP_X_KNOWN", MAX_TAG_LENGTH),
+                headerToken(params, "HTTP_X_OPERATION_KEY", MAX_IDEMPOTENCY_KEY_LENGTH),
                 body,
                 nowMicros,
                 deadlineMs);
     }
 
-    // The tag is copied into a header: a space or control character could end that header and begin another.
-    private static String clientTag(String tag) throws MalformedRecordException {
-        if (tag == null || tag.isEmpty()) {
+    // The value is copied into a header: a space or control character could end that header and begin another.
+    private static String headerToken(Map<String, String> params, String name, int maxLength)
+            throws MalformedRecordException {
+        String value = params.get(name);
+        if (value == null || value.isEmpty()) {
             return null;
         }
-        if (tag.length() > MAX_TAG_LENGTH || !tag.chars().allMatch(c -> c > ' ' && c < 127)) {
+        if (value.length() > maxLength || !value.chars().allMatch(c -> c > ' ' && c < 127)) {
             throw new MalformedRecordException(
-                    "HTTP_X_KNOWN is not a tag of at most " + MAX_TAG_LENGTH + " printable ASCII characters");
+                    name + " is not a value of at most " + maxLength + " printable ASCII characters without blanks");
         }
-        return tag;
+        return value;
     }
 
     private static String hex(Map<String, String> params, String name) throws MalformedRecordException {
--- a/src/main/java/pewtercourse/simulator/SimulatorConnection.java
+++ b/src/main/java/pewtercourse/simulator/SimulatorConnection.java
@@ -201,6 +201,7 @@
                         optionalNumber(7, "LengthKb"),
                         millisField(6, "Expires"),
                         (stateBits & 2) != 0,
+                        fields[2], // The wire shows no keys: each request counts as an operation of its own.
                         (stateBits & 4) != 0));
             }
             case "REMINDER" -> instance().events.add(new TimerFired(text(2, "Handle")));
--- a/src/test/java/pewtercourse/ScriptedCache.java
+++ b/src/test/java/pewtercourse/ScriptedCache.java
@@ -26,6 +26,8 @@
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
     private final List<String> requestIds = new CopyOnWriteArrayList<>();
     private final List<String> requestFields = new CopyOnWriteArrayList<>();
+    private final List<String> requestLines = new CopyOnWriteArrayList<>();
+    private final List<String> requestBodies = new CopyOnWriteArrayList<>();
     private volatile Responder responder;
 
     ScriptedCache(String host, Responder responder) throws IOException {
@@ -80,6 +82,16 @@
         return requestFields;
     }
 
+    /** The request lines, in order of arrival. */
+    List<String> requestLines() {
+        return requestLines;
+    }
+
+    /** The bodies of the completely received requests, in order of arrival. */
+    List<String> requestBodies() {
+        return requestBodies;
+    }
+
     private void accept() {
         while (!listener.isClosed()) {
             try {
@@ -99,10 +111,16 @@
                     new BufferedReader(new InputStreamReader(connection.getInputStream(), StandardCharsets.ISO_8859_1));
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
                 String id = "";
+                int bodyLength = 0;
+                requestLines.add(line);
                 for (String field = reader.readLine(); field != null && !field.isEmpty(); field = reader.readLine()) {
                     requestFields.add(field);
                     id = field.startsWith("Request-Id: ") ? field.substring("Request-Id: ".length()) : id;
+                    bodyLength = field.startsWith("Content-Length: ")
+                            ? Integer.parseInt(field.substring("Content-Length: ".length()))
+                            : bodyLength;
                 }
+                requestBodies.add(readBody(reader, bodyLength));
                 requestIds.add(id);
                 responder.respond(connection, line, id);
             }
@@ -111,6 +129,15 @@
         }
     }
 
+    private static String readBody(BufferedReader reader, int length) throws IOException {
+        char[] body = new char[length];
+        int end = 0;
+        for (int count = 0; end < length && count >= 0; end += Math.max(0, count)) {
+            count = reader.read(body, end, length - end);
+        }
+        return new String(body, 0, end);
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
--- a/src/test/java/pewtercourse/WarmupTest.java
+++ b/src/test/java/pewtercourse/WarmupTest.java
@@ -44,6 +44,7 @@
                 0,
                 1,
                 null,
+                null,
                 Buffer.buffer(),
                 System.currentTimeMillis() * 1000,
                 3_000);
--- a/src/test/java/pewtercourse/cache/AttemptModelTest.java
+++ b/src/test/java/pewtercourse/cache/AttemptModelTest.java
@@ -143,7 +143,7 @@
                     () -> now,
                     cache,
                     ANY_ADDRESS,
-                    new CacheRequest("id", "c", "o", 0, Buffer.buffer(), null, 0, 0, false, false, false, null),
+                    new CacheRequest("id", "c", "o", 0, null, Buffer.buffer(), null, 0, 0, false, false, false, null),
                     400_000,
                     now + 1_000_000,
                     () -> tracked.preconditionHolds,
--- a/src/test/java/pewtercourse/cache/ResponseReaderTest.java
+++ b/src/test/java/pewtercourse/cache/ResponseReaderTest.java
@@ -62,7 +62,7 @@
     }
 
     private static CacheRequest request(String object, String knownTag) {
-        return new CacheRequest("id", "c", object, 0, Buffer.buffer(), null, 0, 0, false, false, false, knownTag);
+        return new CacheRequest("id", "c", object, 0, null, Buffer.buffer(), null, 0, 0, false, false, false, knownTag);
     }
 
     private CacheResponse read(String text) {
--- a/src/test/java/pewtercourse/decision/RandomEventStream.java
+++ b/src/test/java/pewtercourse/decision/RandomEventStream.java
@@ -129,8 +129,8 @@
     private void flood() {
         List<RouterEvent> batch = new ArrayList<>();
         for (int i = 0; i < FLOOD_REQUESTS; i++) {
-            RequestArrived request =
-                    new RequestArrived(nextRequestId++, 0, "flood" + i, 0, 0, 10, now + 500 * MILLIS, false, false);
+            RequestArrived request = new RequestArrived(
+                    nextRequestId++, 0, "flood" + i, 0, 0, 10, now + 500 * MILLIS, false, null, false);
             requestsById.put(request.requestId(), request);
             batch.add(request);
         }
@@ -208,7 +208,7 @@
         boolean clientRetry = random.nextInt(10) == 0;
         boolean write = random.nextInt(20) == 0;
         RequestArrived request = new RequestArrived(
-                id, classIndex, object, segment, random.nextInt(5), sizeKb, expiresAt, clientRetry, write);
+                id, classIndex, object, segment, random.nextInt(5), sizeKb, expiresAt, clientRetry, "key" + id, write);
         requestsById.putIfAbsent(id, request);
         countOccurrence("idempotency " + classes.get(classIndex).idempotency().ordinal());
         countOccurrence("deduplication scope "
--- a/src/test/java/pewtercourse/decision/RouterFixture.java
+++ b/src/test/java/pewtercourse/decision/RouterFixture.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.LongFunction;
 
 /**
  * Drives one {@link RoutingEngine} with hand-written events on a virtual clock. A test sets the fields that hold the settings
@@ -38,6 +39,8 @@
     long now = START_TIME;
 
     long nextRequestId = 1;
+    boolean clientRetry;
+    LongFunction<String> idempotencyKeys = id -> "key" + id;
 
     /** Creates the router from the fields and gives it these endpoints as its list. */
     RouterFixture start(Endpoint... endpoints) {
@@ -107,7 +110,9 @@
 
     /** Creates a request of 500 KB with a deadline of 3 s; the router does not get it yet. */
     RequestArrived newRequest(String object, int segment) {
-        return new RequestArrived(nextRequestId++, 0, object, segment, 3, 500, now + 3000 * MILLIS, false, false);
+        long id = nextRequestId++;
+        return new RequestArrived(
+                id, 0, object, segment, 3, 500, now + 3000 * MILLIS, clientRetry, idempotencyKeys.apply(id), false);
     }
 
     List<RouterAction> submitRequest(String object) {
--- a/src/test/java/pewtercourse/decision/RoutingEngineTest.java
+++ b/src/test/java/pewtercourse/decision/RoutingEngineTest.java
@@ -357,8 +357,8 @@
     @Test
     void requestWhoseTransferCannotEndBeforeItsDeadlineIsRejected() {
         RouterFixture fixture = new RouterFixture().start(RouterFixture.allEndpoints());
-        List<RouterAction> actions =
-                fixture.handle(new RequestArrived(5, 0, "x", 0, 1, 50_000, fixture.now + 3000 * MILLIS, false, false));
+        List<RouterAction> actions = fixture.handle(
+                new RequestArrived(5, 0, "x", 0, 1, 50_000, fixture.now + 3000 * MILLIS, false, null, false));
         assertEquals(1, actionsOfType(actions, RejectRequest.class).size());
     }
 
@@ -394,6 +394,29 @@
         assertEquals(1, actionsOfType(afterWindow, FailRequest.class).size());
     }
 
+    // Guards against a repeat that nothing drops: the class has keys, but this request came without one.
+    @Test
+    void keyedRequestWithoutAKeyIsFailedIfItMayHaveRunAndRetriedIfItDidNotConnect() {
+        for (AttemptOutcome outcome : List.of(AttemptOutcome.ERROR, AttemptOutcome.TIMEOUT, AttemptOutcome.RESET)) {
+            RouterFixture fixture = keyedFixture();
+            fixture.idempotencyKeys = id -> null;
+            List<RouterAction> actions =
+                    fixture.finishAttempt(fixture.routeRequest("x"), 0, outcome, CacheStatus.UNKNOWN);
+            assertEquals(1, actionsOfType(actions, FailRequest.class).size());
+            assertEquals(1, actions.size());
+        }
+        RouterFixture fixture = keyedFixture();
+        fixture.idempotencyKeys = id -> null;
+        singleAttempt(fixture.finishAttempt(
+                fixture.routeRequest("x"), 0, AttemptOutcome.CONNECT_FAILED, CacheStatus.UNKNOWN));
+    }
+
+    private static RouterFixture keyedFixture() {
+        RouterFixture fixture = new RouterFixture();
+        fixture.idempotency = Idempotency.IDEMPOTENCY_KEY;
+        return fixture.start(RouterFixture.allEndpoints());
+    }
+
     @Test
     void overdueAttemptIsCancelledBeforeTheNextWithoutParallelAttempts() {
         RouterFixture fixture = new RouterFixture();
@@ -806,7 +829,7 @@
                 1,
                 actionsOfType(fixture.submitRequest("y"), RejectRequest.class).size());
         SendAttempt write = singleAttempt(fixture.handle(
-                new RequestArrived(999_999, 0, "x", 0, 3, 500, fixture.now + 3000 * MILLIS, false, true)));
+                new RequestArrived(999_999, 0, "x", 0, 3, 500, fixture.now + 3000 * MILLIS, false, null, true)));
         assertTrue(
                 write.fillSourceId() == 11 || write.fillSourceId() == 12,
                 "the write is filled from a parent: " + write);
@@ -877,7 +900,7 @@
             fixture.routeRequest("p" + i);
         }
         SendAttempt large = singleAttempt(fixture.handle(
-                new RequestArrived(900, 0, "large", 0, 3, 1500, fixture.now + 3000 * MILLIS, false, false)));
+                new RequestArrived(900, 0, "large", 0, 3, 1500, fixture.now + 3000 * MILLIS, false, null, false)));
         return large.endpointId() != large.fillSourceId();
     }
 
@@ -889,7 +912,7 @@
             fixture.routeRequest("o" + i);
         }
         SendAttempt giant = singleAttempt(fixture.handle(
-                new RequestArrived(900, 0, "giant", 0, 3, 50_000, fixture.now + 30_000 * MILLIS, false, false)));
+                new RequestArrived(900, 0, "giant", 0, 3, 50_000, fixture.now + 30_000 * MILLIS, false, null, false)));
         assertEquals(giant.endpointId(), giant.fillSourceId());
         SendAttempt meanSize = fixture.routeRequest("usual");
         assertNotEquals(meanSize.endpointId(), meanSize.fillSourceId());
--- a/src/test/java/pewtercourse/decision/ZoneSimulation.java
+++ b/src/test/java/pewtercourse/decision/ZoneSimulation.java
@@ -393,6 +393,7 @@
                 arrival.sizeKb(),
                 arrival.expiresAt() + faults.clockOffset[router],
                 arrival.clientRetry(),
+                arrival.idempotencyKey(),
                 arrival.write());
     }
 
@@ -438,7 +439,16 @@
                 at,
                 router,
                 new RequestArrived(
-                        ++lastRequestId, 0, object, 0, 3, Math.min(sizeKb, 8 * meanKb), at + DEADLINE, false, false)));
+                        ++lastRequestId,
+                        0,
+                        object,
+                        0,
+                        3,
+                        Math.min(sizeKb, 8 * meanKb),
+                        at + DEADLINE,
+                        false,
+                        null,
+                        false)));
     }
 
     private void finishAttempt(long now, Job job, AttemptOutcome outcome, CacheStatus cacheStatus) {
--- a/src/test/java/pewtercourse/director/StormTest.java
+++ b/src/test/java/pewtercourse/director/StormTest.java
@@ -157,6 +157,7 @@
                 17,
                 10,
                 null,
+                null,
                 Buffer.buffer(),
                 director.clock().getAsLong(),
                 cachesMayStaySilent ? SHORT_DEADLINE_MS : LONG_DEADLINE_MS);
--- a/src/test/java/pewtercourse/front/fastcgi/RawFrontClient.java
+++ b/src/test/java/pewtercourse/front/fastcgi/RawFrontClient.java
@@ -62,9 +62,17 @@
 
     /** A complete request with these parameters, on a kept connection. */
     public static byte[] request(int requestId, Map<String, String> params) {
+        return request(requestId, params, "");
+    }
+
+    /** The same with a body. */
+    public static byte[] request(int requestId, Map<String, String> params, String body) {
+        Buffer bodyRecord =
+                body.isEmpty() ? Buffer.buffer() : Record.encode(Record.STDIN, requestId, Buffer.buffer(body));
         return Record.encode(Record.BEGIN, requestId, Buffer.buffer(new byte[] {0, 1, 1, 0, 0, 0, 0, 0}))
                 .appendBuffer(Record.encode(Record.PARAMS, requestId, Record.pairs(params)))
                 .appendBuffer(Record.encode(Record.PARAMS, requestId, Buffer.buffer()))
+                .appendBuffer(bodyRecord)
                 .appendBuffer(Record.encode(Record.STDIN, requestId, Buffer.buffer()))
                 .getBytes();
     }
