--- a/src/main/java/pewtercourse/director/AttemptOutcomes.java
+++ b/src/main/java/pewtercourse/director/AttemptOutcomes.java
@@ -26,6 +26,11 @@
         };
     }
 
+    /** Whether the cache has sent the whole object. */
+    static boolean transfersBody(AttemptResult result) {
+        return result == AttemptResult.SERVED;
+    }
+
     /**
      * Converts the value of the header Outcome, or null. Its words are matched by name, as they have no
      * numbers; the constants have those of the simulator.
--- a/src/main/java/pewtercourse/director/ProxiedRequest.java
+++ b/src/main/java/pewtercourse/director/ProxiedRequest.java
@@ -89,17 +89,12 @@
         if (decision != null) {
             queue = director.routerQueue(decision.site().orElseThrow());
         }
-        arrival = new RequestArrived(
+        arrival = RouterMessages.toArrival(
+                request,
                 id,
                 classIndex,
-                request.object(),
-                request.part(),
-                request.group(),
-                request.sizeKb(),
-                deadline,
-                false,
-                request.idempotencyKey(),
-                director.siteSettings.router().classes().get(classIndex).uncacheable());
+                director.siteSettings.router().classes().get(classIndex),
+                deadline);
         queue.enqueue(arrival);
     }
 
@@ -122,24 +117,12 @@
                 || unlisted
                 || attemptDeadline <= now
                 || attempts > director.siteSettings.router().retry().maxAttempts()) {
-            queue.enqueue(attemptFinished(attempts - 1, send, AttemptResult.OVERTAKEN, null));
+            queue.enqueue(attemptFinished(attempts - 1, send, CacheResponse.of(AttemptResult.OVERTAKEN)));
             return;
         }
         purged = false;
-        CacheRequest cacheRequest = new CacheRequest(
-                request.id(),
-                request.className(),
-                request.object(),
-                request.part(),
-                request.idempotencyKey(),
-                request.body(),
-                source == null ? null : source.name(),
-                retentionRank(send),
-                (send.maxAge() + 999) / 1000,
-                send.coalesce(),
-                send.onlyIfCached(),
-                send.refreshInBackground(),
-                request.knownTag());
+        CacheRequest cacheRequest = RouterMessages.toCacheRequest(
+                request, send, source == null ? null : source.name(), retentionRank(send));
         int number = attempts - 1;
         attempt = new Attempt(
                 director.pool,
@@ -214,7 +197,7 @@
         if (director.siteObserverOrNull() != null) {
             observeAttempt(send, response.result());
         }
-        queue.enqueue(attemptFinished(number, send, response.result(), response.outcomeHeader()));
+        queue.enqueue(attemptFinished(number, send, response));
         removeIfFinished();
     }
 
@@ -239,16 +222,8 @@
         }
     }
 
-    private AttemptFinished attemptFinished(int number, SendAttempt send, AttemptResult result, String outcomeHeader) {
-        return new AttemptFinished(
-                id,
-                number,
-                send.endpointId(),
-                AttemptOutcomes.fromResult(result),
-                director.clock.getAsLong() - sentAt,
-                closed,
-                AttemptOutcomes.parseCacheStatus(outcomeHeader),
-                result == AttemptResult.SERVED);
+    private AttemptFinished attemptFinished(int number, SendAttempt send, CacheResponse response) {
+        return RouterMessages.toAttemptFinished(send, number, response, director.clock.getAsLong() - sentAt, closed);
     }
 
     // ---- Rejection and failure ----
--- a/src/main/java/pewtercourse/front/ClientRequest.java
+++ b/src/main/java/pewtercourse/front/ClientRequest.java
@@ -7,6 +7,7 @@
  *
  * @param knownTag the tag of a copy that the client has, or null
  * @param idempotencyKey the same for all tries of one operation, or null; printable ASCII without blanks
+ * @param clientRetry whether the client marked the request as a retry of an earlier one
  * @param receivedAtMicros the clock in microseconds when the last byte was read
  * @param deadlineMs how long the client waits for the answer from then on
  */
@@ -19,6 +20,7 @@
         double sizeKb,
         String knownTag,
         String idempotencyKey,
+        boolean clientRetry,
         Buffer body,
         long receivedAtMicros,
         double deadlineMs) {}
--- a/src/main/java/pewtercourse/front/fastcgi/CgiRequest.java
+++ b/src/main/java/pewtercourse/front/fastcgi/CgiRequest.java
@@ -46,6 +46,7 @@
                 number(params, "HTTP_X_NEED_KB", MAX_SIZE_KB, 0),
                 headerToken(params, "HTTP_X_KNOWN", MAX_TAG_LENGTH),
                 headerToken(params, "HTTP_X_OPERATION_KEY", MAX_IDEMPOTENCY_KEY_LENGTH),
+                integer(params, "HTTP_X_RESENT", 1) == 1,
                 body,
                 nowMicros,
                 deadlineMs);
--- a/src/test/java/pewtercourse/WarmupTest.java
+++ b/src/test/java/pewtercourse/WarmupTest.java
@@ -45,6 +45,7 @@
                 1,
                 null,
                 null,
+                false,
                 Buffer.buffer(),
                 System.currentTimeMillis() * 1000,
                 3_000);
--- a/src/test/java/pewtercourse/director/DirectorTest.java
+++ b/src/test/java/pewtercourse/director/DirectorTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
@@ -12,8 +10,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -26,10 +22,7 @@
 import org.junit.jupiter.api.Test;
 import pewtercourse.ExampleConfig;
 import pewtercourse.cache.AttemptResult;
-import pewtercourse.cache.CacheConnection;
-import pewtercourse.cache.CacheRequest;
 import pewtercourse.cache.CacheResponse;
-import pewtercourse.cache.Transport;
 import pewtercourse.config.DirectorConfig;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
@@ -96,6 +89,7 @@
                         10,
                         known,
                         null,
+                        false,
                         Buffer.buffer(className.equals("place-order") ? "two couscous" : ""),
                         director.clock().getAsLong(),
                         deadlineMs),
@@ -201,6 +195,7 @@
                     10,
                     null,
                     null,
+                    false,
                     Buffer.buffer(),
                     7_000_000,
                     deadlineMs));
@@ -249,6 +244,7 @@
                                         10,
                                         null,
                                         null,
+                                        false,
                                         Buffer.buffer(),
                                         director.clock().getAsLong(),
                                         3_000),
@@ -262,47 +258,6 @@
         assertEquals(1, receivedRequests.size(), "only the request that was not withdrawn: " + receivedRequests);
     }
 
-    /** Stands in for caches: a test completes their connections and responses. */
-    private static final class ScriptedTransport implements Transport {
-        final List<Promise<CacheResponse>> exchanges = new ArrayList<>();
-        final List<Promise<Void>> connects = new ArrayList<>(); // Used if holdsConnects is set.
-        boolean holdsConnects;
-
-        @Override
-        public Future<CacheConnection> connect(InetSocketAddress address, long timeoutMs) {
-            if (!holdsConnects) {
-                return Future.succeededFuture(connection());
-            }
-            connects.add(Promise.promise());
-            return connects.get(connects.size() - 1).future().map(v -> connection());
-        }
-
-        private CacheConnection connection() {
-            return new CacheConnection() {
-                private boolean open = true;
-
-                @Override
-                public Future<CacheResponse> exchange(CacheRequest request, long timeoutMs) {
-                    exchanges.add(Promise.promise());
-                    return exchanges.get(exchanges.size() - 1).future();
-                }
-
-                @Override
-                public boolean isOpen() {
-                    return open;
-                }
-
-                @Override
-                public void onClose(Runnable listener) {}
-
-                @Override
-                public void close() {
-                    open = false;
-                }
-            };
-        }
-    }
-
     private <T> T onLoop(Supplier<T> code) throws Exception {
         return EventLoopCalls.call(vertx, code);
     }
@@ -330,6 +285,7 @@
                 10,
                 null,
                 null,
+                false,
                 Buffer.buffer(),
                 director.clock().getAsLong(),
                 deadlineMs);
@@ -483,6 +439,7 @@
                         10,
                         null,
                         null,
+                        false,
                         Buffer.buffer(),
                         director.clock().getAsLong(),
                         20_000),
--- a/src/test/java/pewtercourse/director/MetricsModelTest.java
+++ b/src/test/java/pewtercourse/director/MetricsModelTest.java
@@ -55,7 +55,7 @@
                 long id = ++lastId;
                 Runnable onDisconnect = counted.handle(
                         new ClientRequest(
-                                "9b1f03aa5c7e2d41", className, "o", 0, 0, 1, null, null, Buffer.buffer(), 0, 1),
+                                "9b1f03aa5c7e2d41", className, "o", 0, 0, 1, null, null, false, Buffer.buffer(), 0, 1),
                         answer -> {
                             if (open.stream().anyMatch(request -> request.id == id) || answersAtOnce[0]) {
                                 received.merge(className + answer.kind(), 1, Integer::sum);
--- a/src/test/java/pewtercourse/director/StormTest.java
+++ b/src/test/java/pewtercourse/director/StormTest.java
@@ -158,6 +158,7 @@
                 10,
                 null,
                 null,
+                false,
                 Buffer.buffer(),
                 director.clock().getAsLong(),
                 cachesMayStaySilent ? SHORT_DEADLINE_MS : LONG_DEADLINE_MS);
