Keep each repeat of a keyed request inside the window in which its key is remembered

What callers saw, as far as a test shows it: an order of a class with a short MemorySpan ran twice (1) when its repeat waited for a connection that came up after the window, (2) when its client retried by itself, since the window began anew with the new id, also at the router of another zone, and (3) when its first try had gone to another director. Near the end of the window a rejection also told the client that its retry is harmless.

Cause: the window was looked at when an attempt was decided, not when it was written, and counted for each request id, not for the operation that the key names.

Evidence: RepeatWindowTest. With the three rules taken out, 3 of its 4 tests fail: 2 attempts in place of 1, 3 in place of 2, 2 in place of 1.

Change: an attempt that repeats one that may have run ends with the window, so the check before its first byte and Timeout-Ms see it. IdempotencyKeyTable, shared by all routers of a director and bounded, remembers the first attempt of each key. Where the client marks a repeat and this request has been sent already, the window counts from the earliest time at which a first try elsewhere can have begun. A request is rejected only if its client's retry comes back inside the window; else it fails.

Why it works: no attempt that may repeat another is written later than the window after the first one that this director knows of, or that the class's deadline allows.

--- a/src/main/java/pewtercourse/decision/AttemptSender.java
+++ b/src/main/java/pewtercourse/decision/AttemptSender.java
@@ -10,6 +10,7 @@
     private final AccessCounts counts;
     private final ContentHints hints;
     private final PurgeLog purges;
+    private final IdempotencyRules idempotency;
 
     AttemptSender(
             RoutingContext context,
@@ -19,7 +20,8 @@
             SlowStartBudget slowStart,
             AccessCounts counts,
             ContentHints hints,
-            PurgeLog purges) {
+            PurgeLog purges,
+            IdempotencyRules idempotency) {
         this.context = context;
         this.actions = actions;
         this.fills = fills;
@@ -28,6 +30,7 @@
         this.counts = counts;
         this.hints = hints;
         this.purges = purges;
+        this.idempotency = idempotency;
     }
 
     /**
@@ -35,18 +38,14 @@
      * source is the target itself.
      */
     void send(RequestState request, EndpointState target, EndpointState source, boolean fromSibling) {
+        long endsBy = idempotency.nextAttemptEnd(request);
         AttemptState attempt = reserve(request, target, source, fromSibling);
         boolean safe = request.isSafe();
         RouterFeatures features = context.settings().features();
-        long dueAt = timeouts.dueAt(attempt);
-        // If attempts can't be cancelled, this one gets a timeout when it is sent, provided that time remains
-        // for another.
-        boolean hasTimeout =
-                safe && !features.attemptCancellation() && dueAt + request.transferTime < request.arrival.expiresAt();
         actions.add(new SendAttempt(
                 request.id(),
                 target.id(),
-                hasTimeout ? dueAt - context.now() : 0,
+                timeout(request, attempt, endsBy),
                 source.id(),
                 counts.retentionRank(request),
                 purges.maxCopyAge(request),
@@ -55,6 +54,19 @@
                 request.requestClass.freshnessLifetime() > 0));
     }
 
+    // 0 if the attempt may last until the client stops waiting. If attempts can't be cancelled, one of a safe request
+    // gets a timeout when it is sent, provided that time remains for another.
+    private long timeout(RequestState request, AttemptState attempt, long endsBy) {
+        if (endsBy < request.arrival.expiresAt()) {
+            return endsBy - context.now();
+        }
+        long dueAt = timeouts.dueAt(attempt);
+        boolean hasTimeout = request.isSafe()
+                && !context.settings().features().attemptCancellation()
+                && dueAt + request.transferTime < request.arrival.expiresAt();
+        return hasTimeout ? dueAt - context.now() : 0;
+    }
+
     private AttemptState reserve(
             RequestState request, EndpointState target, EndpointState source, boolean fromSibling) {
         boolean fillsFromOutside = source != target && !fromSibling && !hints.isLikelyHeld(request, target);
@@ -67,6 +79,7 @@
                 timeouts.expectedTime(request, fillsFromOutside),
                 fillsFromOutside ? fills.probability() : 0);
         request.onAttemptSent(attempt);
+        idempotency.onAttemptSent(request, attempt.possibleRun);
         slowStart.onAttemptSent(request, attempt);
         target.limiter.acquire(1);
         fills.limiter.acquire(attempt.fillProbability);
--- a/src/main/java/pewtercourse/decision/AttemptState.java
+++ b/src/main/java/pewtercourse/decision/AttemptState.java
@@ -21,6 +21,9 @@
     /** Work charged to the source of a fill; null if there is none. */
     SlowStartLedger.Charge sourceCharge;
 
+    /** What is remembered of the attempt as long as it may have run; null before it is sent. */
+    PossibleRun possibleRun;
+
     boolean ended;
     /** Whether the answer is overdue. An overdue attempt takes no capacity any more. */
     boolean overdue;
--- a/src/main/java/pewtercourse/decision/RequestDispatcher.java
+++ b/src/main/java/pewtercourse/decision/RequestDispatcher.java
@@ -131,6 +131,9 @@
             parts.timeouts().onOverdueAttemptEnded(outcome == AttemptOutcome.OK);
         }
         request.onAttemptEnded(attempt, outcome);
+        if (outcome.neverRan()) {
+            parts.idempotency().onAttemptNeverRan(request, attempt.possibleRun);
+        }
         parts.slowStart().onAttemptEnded(request, attempt, end);
         parts.feedback().onAttemptEnded(request, attempt, end);
     }
@@ -188,18 +191,25 @@
         }
         givenUp.merge(reason, 1L, Long::sum);
         actions.add(
-                request.isHarmlessToReject()
+                parts.idempotency().allowsRejection(request, maxRetryAfter(request))
                         ? new RejectRequest(request.id(), retryAfter(request))
                         : new FailRequest(request.id()));
         finish(request);
     }
 
     private long retryAfter(RequestState request) {
-        long objective = request.requestClass.latencyObjective();
-        long advice = (long) (RETRY_AFTER_SHARE * objective * (1 + random.nextDouble()));
+        long advice = (long) (leastRetryAfter(request) * (1 + random.nextDouble()));
         return Math.min(context.settings().retry().maxRetryAfter(), advice);
     }
 
+    private long maxRetryAfter(RequestState request) {
+        return Math.min(context.settings().retry().maxRetryAfter(), (long) (2 * leastRetryAfter(request)));
+    }
+
+    private static double leastRetryAfter(RequestState request) {
+        return RETRY_AFTER_SHARE * request.requestClass.latencyObjective();
+    }
+
     void onStreamStarted(long requestId) {
         RequestState request = requests.get(requestId);
         if (request != null) {
--- a/src/main/java/pewtercourse/decision/RequestState.java
+++ b/src/main/java/pewtercourse/decision/RequestState.java
@@ -38,8 +38,7 @@
     /** Whether some attempt reached a cache. */
     boolean reachedCache;
 
-    private EndpointState firstRunEndpoint;
-    private long firstRunSentAt;
+    private PossibleRun firstRun;
 
     RequestState(RequestArrived arrival, RequestClass requestClass, double transferTime, long now) {
         this.arrival = arrival;
@@ -58,11 +57,9 @@
         return requestClass.isSafe();
     }
 
-    /** The effect of sending this request a second time. Without a key, nothing drops a repeat of a keyed class. */
-    Idempotency idempotency() {
-        boolean lacksKey =
-                requestClass.idempotency() == Idempotency.IDEMPOTENCY_KEY && arrival.idempotencyKey() == null;
-        return lacksKey ? Idempotency.NON_IDEMPOTENT : requestClass.idempotency();
+    /** Whether caches drop a repeat of this request by its key. */
+    boolean hasUsableKey() {
+        return requestClass.idempotency() == Idempotency.IDEMPOTENCY_KEY && arrival.idempotencyKey() != null;
     }
 
     /** Whether the answer may be stored. */
@@ -76,38 +73,31 @@
         return Math.min(objective, requestClass.deadline());
     }
 
-    /** The endpoint of the first attempt that may have run or may still run; null if there is no such attempt. */
-    EndpointState firstRunEndpoint() {
-        return firstRunEndpoint;
-    }
-
-    /** When the attempt at {@link #firstRunEndpoint} was sent. */
-    long firstRunSentAt() {
-        return firstRunSentAt;
+    /** The first attempt of this request that may have run or may still run; null if there is no such attempt. */
+    PossibleRun firstRun() {
+        return firstRun;
     }
 
     void onAttemptSent(AttemptState attempt) {
+        attempt.possibleRun = new PossibleRun(
+                id(),
+                attempts.size(),
+                attempt.endpoint.endpoint().zone(),
+                attempt.endpoint.endpoint().cell(),
+                attempt.sentAt);
         attempts.add(attempt);
         attemptsInFlight++;
-        if (firstRunEndpoint == null) {
-            firstRunEndpoint = attempt.endpoint;
-            firstRunSentAt = attempt.sentAt;
+        if (firstRun == null) {
+            firstRun = attempt.possibleRun;
         }
     }
 
     void onAttemptEnded(AttemptState attempt, AttemptOutcome outcome) {
         attempt.ended = true;
         attemptsInFlight--;
-        if (outcome.neverRan() && firstRunSentAt == attempt.sentAt && attemptsInFlight == 0) {
-            firstRunEndpoint = null;
+        if (outcome.neverRan() && attempt.possibleRun.equals(firstRun) && attemptsInFlight == 0) {
+            firstRun = null;
         }
         reachedCache |= outcome != AttemptOutcome.CONNECT_FAILED && outcome != AttemptOutcome.SUPERSEDED;
     }
-
-    /** Whether the request certainly had no effect or may safely be repeated anywhere. */
-    boolean isHarmlessToReject() {
-        boolean repeatable = idempotency() == Idempotency.IDEMPOTENCY_KEY
-                && requestClass.deduplicationScope() == DeduplicationScope.ALL;
-        return isSafe() || firstRunEndpoint == null || repeatable;
-    }
 }
--- a/src/main/java/pewtercourse/decision/RoutingEngine.java
+++ b/src/main/java/pewtercourse/decision/RoutingEngine.java
@@ -25,9 +25,14 @@
 
     /** Creates a router. The same settings, seed and events always result in the same actions. */
     public RoutingEngine(RouterSettings settings, long seed) {
+        this(settings, seed, new IdempotencyKeyTable());
+    }
+
+    /** Creates a router that shares {@code keys} with the other routers of its director. */
+    public RoutingEngine(RouterSettings settings, long seed, IdempotencyKeyTable keys) {
         random = new Random(seed);
         context = new RoutingContext(settings);
-        parts = RoutingParts.create(context, actions);
+        parts = RoutingParts.create(context, actions, keys);
         dispatcher = new RequestDispatcher(context, actions, random, parts);
         parts.transferTimes().resize(settings.classes().size());
     }
--- a/src/main/java/pewtercourse/decision/RoutingParts.java
+++ b/src/main/java/pewtercourse/decision/RoutingParts.java
@@ -18,7 +18,7 @@
         FillSourceSelector sourceSelector,
         AttemptSender sender,
         AttemptFeedback feedback) {
-    static RoutingParts create(RoutingContext context, ActionBuffer actions) {
+    static RoutingParts create(RoutingContext context, ActionBuffer actions, IdempotencyKeyTable keys) {
         EndpointTable endpoints = new EndpointTable(context);
         TransferTimes transferTimes = new TransferTimes();
         AccessCounts counts = new AccessCounts(context);
@@ -30,7 +30,7 @@
         CapacityEstimate capacity = new CapacityEstimate(context, endpoints, ramp);
         SlowStartBudget slowStart = new SlowStartBudget(context, ramp, capacity, transferTimes);
         OutlierDetector outliers = new OutlierDetector(context, endpoints);
-        IdempotencyRules idempotency = new IdempotencyRules(context);
+        IdempotencyRules idempotency = new IdempotencyRules(context, keys);
         return new RoutingParts(
                 endpoints,
                 transferTimes,
@@ -46,7 +46,7 @@
                 idempotency,
                 new CacheSelector(context, endpoints, counts, slowStart, outliers, idempotency, transferTimes),
                 new FillSourceSelector(context, endpoints, hints, slowStart, outliers),
-                new AttemptSender(context, actions, fills, timeouts, slowStart, counts, hints, purges),
+                new AttemptSender(context, actions, fills, timeouts, slowStart, counts, hints, purges, idempotency),
                 new AttemptFeedback(context, outliers, fills, hints));
     }
 }
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -31,6 +31,7 @@
 import pewtercourse.decision.FailRequest;
 import pewtercourse.decision.GossipReceived;
 import pewtercourse.decision.Idempotency;
+import pewtercourse.decision.IdempotencyKeyTable;
 import pewtercourse.decision.QuotaChanged;
 import pewtercourse.decision.RejectRequest;
 import pewtercourse.decision.RequestArrived;
@@ -95,6 +96,7 @@
     private final RouterEventQueue localRouterQueue;
     // By zone: for requests that the caches of other zones serve.
     private final Map<String, RouterEventQueue> remoteRouterQueues = new HashMap<>();
+    private final IdempotencyKeyTable idempotencyKeys = new IdempotencyKeyTable();
     private final GossipSocket gossipSocket;
     private final SlowStartMonitor slowStartMonitor;
     private final Map<Long, ProxiedRequest> requests = new HashMap<>();
@@ -506,7 +508,7 @@
 
     private RouterEventQueue newRouterQueue(RouterSettings settings, boolean remoteZone) {
         return new RouterEventQueue(
-                new RoutingEngine(settings, config.seed()),
+                new RoutingEngine(settings, config.seed(), idempotencyKeys),
                 remoteZone,
                 clock,
                 queue -> context.runOnContext(v -> handleNextBatch(queue)),
