Carry out hedged requests where the settings allow parallel attempts

Each hedged request that the router ordered also used up a retry of the budget.

Cause: with Permissions.ParallelTries the router orders a second attempt beside an overdue one and cancels nothing, while ProxiedRequest had room for one attempt and reported the second as never sent.

Evidence: HedgedRequestTest failed 2 of 2 before, "no further attempt beside the overdue one", with one attempt in 8 s.

Change: ProxiedRequest keeps its running attempts by number, each with its order, its start and its purge mark; the first answer counts, and the router cancels the others. Without the permission there is one at a time, as before. lastSend, which nobody read, is gone.

Result: HedgedRequestTest, DirectorTest, StormTest and RouterMessagesTest pass.

--- a/src/main/java/pewtercourse/director/ProxiedRequest.java
+++ b/src/main/java/pewtercourse/director/ProxiedRequest.java
@@ -1,5 +1,8 @@
 package pewtercourse.director;
 
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import pewtercourse.Log;
 import pewtercourse.Timers;
@@ -19,8 +22,9 @@
 import pewtercourse.front.ClientRequest;
 
 /**
- * One client request, from its arrival to its one answer. The router orders attempts, one after the other; the
- * result of each is reported back to the router, and the first that serves the object answers the client.
+ * One client request, from its arrival to its one answer. The router orders attempts, one after the other or, where the
+ * settings allow it, a hedged one beside the first; the result of each is reported back to the router, and the first that
+ * serves the object answers the client.
  * Confined to the event loop; times are microseconds.
  */
 final class ProxiedRequest {
@@ -42,12 +46,24 @@
     private final Consumer<Answer> answer;
     private RouterEventQueue queue; // Of the router that handles the request.
     private RequestArrived arrival;
-    private Attempt attempt;
-    private SendAttempt lastSend;
-    private long sentAt;
+    private final Map<Integer, RunningAttempt> running = new LinkedHashMap<>(); // By number.
     private int attempts;
     private boolean closed; // Answered, or its client has disconnected.
-    private boolean purged;
+
+    /** An attempt from the router's order to its result. */
+    private static final class RunningAttempt {
+        final int number;
+        final SendAttempt send;
+        final long sentAt;
+        Attempt attempt;
+        boolean purged;
+
+        RunningAttempt(int number, SendAttempt send, long sentAt) {
+            this.number = number;
+            this.send = send;
+            this.sentAt = sentAt;
+        }
+    }
 
     ProxiedRequest(Director director, ClientRequest request, int classIndex, Consumer<Answer> answer) {
         this.director = director;
@@ -103,28 +119,26 @@
     /** Starts the attempt that the router ordered. */
     void sendAttempt(SendAttempt send) {
         long now = director.clock.getAsLong();
-        lastSend = send;
-        sentAt = now;
-        attempts++;
+        RunningAttempt started = new RunningAttempt(attempts++, send, now);
         WatchedEndpoint cache = director.registry.get(send.endpointId());
         WatchedEndpoint source =
                 send.fillSourceId() == send.endpointId() ? null : director.registry.get(send.fillSourceId());
         long attemptDeadline = send.timeout() > 0 ? Math.min(deadline, now + send.timeout()) : deadline;
         boolean unlisted = cache == null || source == null && send.fillSourceId() != send.endpointId();
-        // Never two attempts at a time, never an endpoint that is not listed, never after the deadline.
+        // Never two attempts at a time unless the settings allow it, never an endpoint that is not listed, never after
+        // the
+        // deadline.
         if (closed
-                || attempt != null
+                || !mayRunAnother()
                 || unlisted
                 || attemptDeadline <= now
                 || attempts > director.siteSettings.router().retry().maxAttempts()) {
-            queue.enqueue(attemptFinished(attempts - 1, send, CacheResponse.of(AttemptResult.OVERTAKEN)));
+            queue.enqueue(attemptFinished(started, CacheResponse.of(AttemptResult.OVERTAKEN)));
             return;
         }
-        purged = false;
         CacheRequest cacheRequest = RouterMessages.toCacheRequest(
                 request, send, source == null ? null : source.name(), retentionRank(send));
-        int number = attempts - 1;
-        attempt = new Attempt(
+        started.attempt = new Attempt(
                 director.pool,
                 director.timers,
                 director.clock,
@@ -133,9 +147,14 @@
                 cacheRequest,
                 director.siteSettings.connectTimeoutMicros(),
                 attemptDeadline,
-                () -> maySend(send),
-                response -> onAttemptFinished(number, send, response));
-        attempt.start();
+                () -> maySend(started),
+                response -> onAttemptFinished(started, response));
+        running.put(started.number, started);
+        started.attempt.start();
+    }
+
+    private boolean mayRunAnother() {
+        return running.isEmpty() || director.siteSettings.router().features().parallelAttempts();
     }
 
     // Copies that another zone's cache stores for this site's clients are evicted first: once this site serves
@@ -146,27 +165,36 @@
 
     // The client may have disconnected, and the control feed may have changed an endpoint or purged the object,
     // while the connection was established.
-    private boolean maySend(SendAttempt send) {
+    private boolean maySend(RunningAttempt waiting) {
+        SendAttempt send = waiting.send;
         return !closed
-                && !purged
+                && !waiting.purged
                 && director.registry.isReady(send.endpointId())
                 && (send.fillSourceId() == send.endpointId() || director.registry.isReady(send.fillSourceId()));
     }
 
     /** Records a purge; if it is of this object, an attempt that still waits for its connection is not sent. */
     void recordPurge(WatchEvent.Purge purge) {
-        purged |= purge.object() != null ? purge.object().equals(request.object()) : purge.group() == request.group();
+        boolean purged =
+                purge.object() != null ? purge.object().equals(request.object()) : purge.group() == request.group();
+        running.values().forEach(attempt -> attempt.purged |= purged);
     }
 
-    /** Cancels the attempt of this number, if it is the one that runs. */
+    /** Cancels the attempt of this number, if it runs. */
     void cancelAttempt(int number) {
-        if (attempt != null && number == attempts - 1) {
-            attempt.cancel();
+        RunningAttempt cancelled = running.get(number);
+        if (cancelled != null) {
+            cancelled.attempt.cancel();
         }
     }
 
-    private void onAttemptFinished(int number, SendAttempt send, CacheResponse response) {
-        attempt = null;
+    private void cancelAttempts() {
+        List.copyOf(running.keySet()).forEach(this::cancelAttempt);
+    }
+
+    private void onAttemptFinished(RunningAttempt ended, CacheResponse response) {
+        running.remove(ended.number);
+        SendAttempt send = ended.send;
         if (response.result() == AttemptResult.SERVED) {
             answerClient(Answer.served(response.body(), response.tag()));
         } else if (response.result() == AttemptResult.NOT_MODIFIED) {
@@ -178,7 +206,7 @@
                     "id",
                     request.id(),
                     "number",
-                    number,
+                    ended.number,
                     "cache",
                     Long.toHexString(send.endpointId()),
                     "source",
@@ -192,17 +220,17 @@
                     "kb",
                     request.sizeKb(),
                     "ms",
-                    (director.clock.getAsLong() - sentAt) / 1000);
+                    (director.clock.getAsLong() - ended.sentAt) / 1000);
         }
         if (director.siteObserverOrNull() != null) {
-            observeAttempt(send, response.result());
+            observeAttempt(ended, response.result());
         }
-        queue.enqueue(attemptFinished(number, send, response));
+        queue.enqueue(attemptFinished(ended, response));
         removeIfFinished();
     }
 
-    private void observeAttempt(SendAttempt send, AttemptResult result) {
-        WatchedEndpoint cache = director.registry.get(send.endpointId());
+    private void observeAttempt(RunningAttempt ended, AttemptResult result) {
+        WatchedEndpoint cache = director.registry.get(ended.send.endpointId());
         if (cache != null) {
             long now = director.clock.getAsLong();
             RequestClass requestClass = director.siteSettings.router().classes().get(classIndex);
@@ -216,14 +244,15 @@
                             now,
                             cache.zone(),
                             result,
-                            now - sentAt
+                            now - ended.sentAt
                                     > requestClass.latencyObjective()
                                             + requestClass.transferAllowance() * transferMicros);
         }
     }
 
-    private AttemptFinished attemptFinished(int number, SendAttempt send, CacheResponse response) {
-        return RouterMessages.toAttemptFinished(send, number, response, director.clock.getAsLong() - sentAt, closed);
+    private AttemptFinished attemptFinished(RunningAttempt ended, CacheResponse response) {
+        return RouterMessages.toAttemptFinished(
+                ended.send, ended.number, response, director.clock.getAsLong() - ended.sentAt, closed);
     }
 
     // ---- Rejection and failure ----
@@ -256,7 +285,7 @@
                 return;
             }
             queue.enqueue(new ClientDisconnected(id));
-            cancelAttempt(attempts - 1);
+            cancelAttempts();
             removeIfFinished();
         }
     }
@@ -278,7 +307,7 @@
                 "attempts",
                 attempts,
                 "out",
-                attempt != null,
+                !running.isEmpty(),
                 "late_ms",
                 (director.clock.getAsLong() - deadline) / 1000);
         abort();
@@ -288,7 +317,7 @@
     void abort() {
         answerClient(Answer.failed());
         queue.enqueue(new ClientDisconnected(id));
-        cancelAttempt(attempts - 1);
+        cancelAttempts();
         removeIfFinished();
     }
 
@@ -319,7 +348,7 @@
     // order one more attempt in the same batch and must learn its outcome, or the attempt would count against
     // the limits for good.
     private void removeIfFinished() {
-        if (closed && attempt == null) {
+        if (closed && running.isEmpty()) {
             queue.removeAfterBatch(this);
         }
     }
