End the process at once after an Error on the event loop

Cause: handlers catch RuntimeException only, so an Error ends a turn of the event loop half way; what the turn was about to do, an answer or a timer, is gone, and the handler for uncaught errors only logged it.

Change: an Error is logged as process.failed and the process ends with 70. The start script sets ExitOnOutOfMemoryError too, for an error that is thrown and caught elsewhere.

Why it works: clients see their connections end at once and turn to another director, and the platform starts this one again.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -36,6 +36,6 @@
 exec java -XX:SharedArchiveFile=target/pewtercourse.jsa -XX:-UsePerfData -XX:+UseSerialGC \
   -Xms$((heap / 2))m -Xmx${heap}m -Xss512k -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=20m \
   -XX:TieredStopAtLevel=1 -XX:MaxDirectMemorySize=${direct}m -Djdk.nio.maxCachedBufferSize=65536 \
-  -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.numHeapArenas=1 \
+  -XX:+ExitOnOutOfMemoryError -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.numHeapArenas=1 \
   -Dio.netty.maxDirectMemory=0 -Dio.netty.jfr.enabled=false -Dvertx.disableDnsResolver=true \
   -Djava.net.preferIPv4Stack=true -jar target/pewtercourse.jar serve
--- a/src/main/java/pewtercourse/Main.java
+++ b/src/main/java/pewtercourse/Main.java
@@ -73,7 +73,7 @@
                 ? socket.transport()
                 : new FrontTransport(new LimitedListener(config.maxAcceptedConnections()));
         Vertx vertx = vertx(transport);
-        vertx.exceptionHandler(e -> Log.error("loop.unexpected", e));
+        vertx.exceptionHandler(new UnexpectedErrors(Runtime.getRuntime()::halt));
         vertx.getOrCreateContext().runOnContext(v -> start(vertx, config, cluster, socket, transport));
     }
 
