Bound the bytes that the director holds for clients and caches

With 38 MB of heap (the share of 96 MB) 192 requests at once for objects of 240,000 bytes ended in OutOfMemoryErrors or answers that came 1.2 s too late.

Cause: responses being received, complete answers and the bodies of open requests were counted nowhere. A body was counted only until its request was complete. At an eighth of the memory the connection that wrote next was closed, and its answers lost. An answer was copied up to four times on its way. NetSocket.pause() reads on for 16 more pieces of up to 64 KB, uncounted.

The library's queue: MessagePassingQueue.DEFAULT_HIGH_WATER_MARK is 16.

Change: HeldBytes counts requests, responses and answers, MemoryLimits derives their limits from the heap and memory_mb. Memory for a whole response is reserved when its head has come, in that order; until there is room its connection is not read. Requests over their limit, and new ones while the responses that wait take more than the limit, get 503 before anything is sent; their connections stay open. A response is collected in blocks and passed on without further copies. Reading is stopped by auto-read. A failed write closes its connection. 16 KB in place of 48 KB wait in the library for each client, so that 341 fit into the direct memory of an upgrade. Metrics memory.*, log memory.limited, memory.freed, memory.rejected.

closesAClientThatNeverReadsAtTheBacklogLimit asserted the close that loses answers. In its place: answers that no cache made still close a client that doesn't read them (closesAClientThatNeverReadsItsManagementAnswersAtTheLimit), a slow reader keeps its answers at the limit (keepsTheAnswersOfASlowReaderAtTheLimit), and the bound itself is a property (ReadControlTest).

Why it works: a response is read only with memory for all of it, so each one that is read ends and frees it; what waits holds 8 KB.

--- a/src/main/java/pewtercourse/ClassArchiveTraining.java
+++ b/src/main/java/pewtercourse/ClassArchiveTraining.java
@@ -17,6 +17,7 @@
 import pewtercourse.director.Director;
 import pewtercourse.front.fastcgi.FastCgiClient;
 import pewtercourse.front.fastcgi.FastCgiServer;
+import pewtercourse.memory.HeldBytes;
 
 /**
  * Training run for the JVM's class data archive: a director serves one request to itself and exits. The build runs it
@@ -41,10 +42,16 @@
                             hosts.forEach(host -> ((JsonObject) host).put("dial", address));
                             json.put("feed", address);
                             DirectorConfig directorConfig = DirectorConfig.read(Map.of(), json);
-                            Director director = new Director(vertx, directorConfig);
+                            HeldBytes held = new HeldBytes(directorConfig.memoryLimits());
+                            Director director = new Director(vertx, directorConfig, held);
                             director.start();
                             Warmup warmup = new Warmup(vertx, directorConfig, director);
-                            return new FastCgiServer(vertx, warmup, director.clock(), directorConfig.front())
+                            return new FastCgiServer(
+                                            vertx,
+                                            warmup,
+                                            director.clock(),
+                                            directorConfig.maxClientConnections(),
+                                            held)
                                     .listen(SocketAddress.inetSocketAddress(0, HOST))
                                     .compose(front -> warmup.run(
                                                     SocketAddress.inetSocketAddress(front.actualPort(), HOST), true)
--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -22,6 +22,7 @@
 import pewtercourse.handover.InheritedSocket;
 import pewtercourse.handover.OperatorState;
 import pewtercourse.handover.StateFile;
+import pewtercourse.memory.HeldBytes;
 
 /** A running director with its front, warm-up, operators' address and cluster. Confined to the event loop. */
 final class Service implements Operations {
@@ -34,6 +35,7 @@
 
     private final Vertx vertx;
     private DirectorConfig config;
+    private final HeldBytes held;
     private final Director director;
     private final Warmup warmup;
     private final FastCgiServer front;
@@ -54,7 +56,8 @@
         this.config = config;
         this.inherited = inherited;
         this.transport = transport;
-        this.director = new Director(vertx, config);
+        this.held = new HeldBytes(config.memoryLimits());
+        this.director = new Director(vertx, config, held);
         this.warmup = new Warmup(
                 vertx,
                 config,
@@ -67,7 +70,7 @@
                 },
                 director::knowsClass);
         metrics.registerClasses(config.site().classes().keySet());
-        this.front = new FastCgiServer(vertx, new DrainFilter(), director.clock(), config.front());
+        this.front = new FastCgiServer(vertx, new DrainFilter(), director.clock(), config.maxClientConnections(), held);
         this.stateFile = config.stateFolder() == null ? null : new StateFile(config.stateFolder());
     }
 
@@ -126,7 +129,8 @@
     // Connections to a shared socket may reach another process, so the warm-up uses a socket of its own. Clients are
     // accepted only afterwards.
     private Future<Void> warmUpInternally(boolean upgrade) {
-        FastCgiServer internalFront = new FastCgiServer(vertx, warmup, director.clock(), config.front());
+        FastCgiServer internalFront =
+                new FastCgiServer(vertx, warmup, director.clock(), config.maxClientConnections(), held);
         return internalFront
                 .listen(SocketAddress.inetSocketAddress(0, "127.0.0.1"))
                 .compose(server -> warmup.run(
--- a/src/main/java/pewtercourse/cache/HttpTransport.java
+++ b/src/main/java/pewtercourse/cache/HttpTransport.java
@@ -10,17 +10,25 @@
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.net.InetSocketAddress;
+import pewtercourse.memory.ReadControl;
+import pewtercourse.memory.SocketReads;
 
 /**
  * Speaks HTTP/1.1 with caches on Vert.x sockets. The HTTP client of Vert.x is not used: it reads a body without
  * a limit, takes the end of the connection for the end of a response, and does not report bytes that follow a
- * response.
+ * response. The bytes of responses are counted while they are received, and their reading is paused when the director
+ * holds too many.
  */
 public final class HttpTransport implements Transport {
+    // What comes with the head of a response is read before its memory is reserved.
+    private static final int MAX_PIECE_BYTES = 8 * 1024;
+
     private final NetClient client;
+    private final ReadControl readControl;
 
-    /** Creates a transport whose connections run on the event loops of {@code vertx}. */
-    public HttpTransport(Vertx vertx) {
+    /** Creates a transport whose connections run on the event loop of {@code vertx}, as {@code readControl} does. */
+    public HttpTransport(Vertx vertx, ReadControl readControl) {
+        this.readControl = readControl;
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true));
     }
 
@@ -33,28 +41,38 @@
         return client.connect(options).map(socket -> new Connection(socket, host));
     }
 
-    private static final class Connection implements CacheConnection {
+    private final class Connection implements CacheConnection, ReadControl.PausableRead {
         private final NetSocket socket;
         private final String host;
         private final ResponseReader reader = new ResponseReader();
         private Promise<CacheResponse> response;
         private boolean open = true;
+        private boolean reserved;
         private Runnable onClose = () -> {};
 
         Connection(NetSocket socket, String host) {
             this.socket = socket;
             this.host = host;
+            SocketReads.limitPieces(socket, MAX_PIECE_BYTES);
             socket.handler(this::read);
-            socket.exceptionHandler(e -> {});
+            socket.exceptionHandler(Connection::rethrowError);
             socket.closeHandler(v -> {
                 open = false;
                 onClose.run();
                 if (response != null) {
                     response.tryFail("closed");
                 }
+                endResponse();
             });
         }
 
+        // A broken connection ends by its close handler. An Error concerns the whole process.
+        private static void rethrowError(Throwable e) {
+            if (e instanceof Error error) {
+                throw error;
+            }
+        }
+
         private void read(Buffer bytes) {
             if (response == null || response.future().isComplete()) {
                 close(); // Bytes without a request would be taken for the next response.
@@ -65,17 +83,39 @@
                 open &= reader.isReusable();
                 Promise<CacheResponse> receiver = response;
                 response = null; // An idle connection must not keep the last response.
+                // The receiver counts the bytes of the body from now on.
                 receiver.tryComplete(complete);
+                endResponse();
+            } else if (!reserved && reader.hasHead()) {
+                reserved = true;
+                readControl.reserve(this, reader.expectedBytes(), reader.heldBytes());
+            }
+        }
+
+        private void endResponse() {
+            if (reserved) {
+                reserved = false;
+                readControl.release(this);
             }
         }
 
+        @Override
+        public void pause() {
+            SocketReads.pause(socket);
+        }
+
+        @Override
+        public void resume() {
+            SocketReads.resume(socket);
+        }
+
         @Override
         public Future<CacheResponse> exchange(CacheRequest request, long timeoutMs) {
             Promise<CacheResponse> exchange = Promise.promise();
             response = exchange;
             if (open) {
                 reader.expectResponseTo(request);
-                socket.write(request.encode(host, timeoutMs));
+                socket.write(request.encode(host, timeoutMs)).onFailure(exchange::tryFail);
             } else {
                 exchange.fail("closed");
             }
@@ -95,6 +135,7 @@
         @Override
         public void close() {
             open = false;
+            endResponse();
             socket.close();
         }
     }
--- a/src/main/java/pewtercourse/cache/ResponseReader.java
+++ b/src/main/java/pewtercourse/cache/ResponseReader.java
@@ -1,6 +1,7 @@
 package pewtercourse.cache;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,9 +13,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.buffer.BufferInternal;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 import java.util.regex.Pattern;
@@ -52,13 +53,13 @@
 
         // Calls the decoder as Netty's pipeline does. A pipeline needs a channel for each connection, which
         // cost more than the decoder itself.
-        List<Object> read(byte[] bytes) {
+        List<Object> read(ByteBuf bytes) {
             unread = unread.isReadable()
                     ? HEAP_ALLOCATOR
-                            .heapBuffer(unread.readableBytes() + bytes.length)
+                            .heapBuffer(unread.readableBytes() + bytes.readableBytes())
                             .writeBytes(unread)
                             .writeBytes(bytes)
-                    : Unpooled.wrappedBuffer(bytes);
+                    : bytes;
             List<Object> parts = new ArrayList<>(4);
             try {
                 for (int previousBytes = -1, previousParts = 0;
@@ -115,7 +116,7 @@
 
     private final Decoder decoder = new Decoder();
     private HttpResponse head;
-    private ByteBuf body;
+    private ResponseBody body;
     private String knownTag;
     private String path;
     private String previousPath;
@@ -137,7 +138,7 @@
     /** Reads the next bytes; returns the response once it is complete or found malformed, and null before that. */
     CacheResponse read(Buffer bytes) {
         CacheResponse response = null;
-        for (Object part : decoder.read(bytes.getBytes())) {
+        for (Object part : decoder.read(((BufferInternal) bytes).getByteBuf())) {
             if (response == null) {
                 response = readPart((HttpObject) part);
             } else {
@@ -147,6 +148,21 @@
         return response == null && decoder.malformed ? malformedResponse() : response;
     }
 
+    /** Whether the head of the response has come, and the response is not complete. */
+    boolean hasHead() {
+        return body != null;
+    }
+
+    /** Bytes of memory that the response takes that is being read. */
+    int heldBytes() {
+        return body == null ? 0 : body.allocatedBytes();
+    }
+
+    /** Bytes of memory that it may take when it is complete. */
+    int expectedBytes() {
+        return Math.max(heldBytes(), body.expectedBytes(MAX_BODY_BYTES));
+    }
+
     /**
      * Whether the connection may carry another request: nothing came but well-formed responses to the requests,
      * and the last one keeps the connection alive.
@@ -167,16 +183,17 @@
                 return ++interimResponses > MAX_INTERIM_RESPONSES ? malformedResponse() : null;
             }
             head = response;
-            body = HEAP_ALLOCATOR.heapBuffer(1_024);
-            if (declaredBodyBytes(response) > MAX_BODY_BYTES) {
+            long declaredBytes = declaredBodyBytes(response);
+            if (declaredBytes > MAX_BODY_BYTES) {
                 return malformedResponse();
             }
+            body = new ResponseBody((int) declaredBytes);
         }
         if (head != null && part instanceof HttpContent content) {
-            if (body.readableBytes() + content.content().readableBytes() > MAX_BODY_BYTES) {
+            if (body.length() + content.content().readableBytes() > MAX_BODY_BYTES) {
                 return malformedResponse();
             }
-            body.writeBytes(content.content());
+            body.append(content.content());
             return part instanceof LastHttpContent ? completeResponse() : null;
         }
         return null;
@@ -198,31 +215,31 @@
 
     private CacheResponse completeResponse() {
         reusable &= HttpUtil.isKeepAlive(head);
-        byte[] bytes = new byte[body.readableBytes()];
-        body.readBytes(bytes);
+        Buffer content = body.toBuffer();
+        body = null;
         CacheResponse response = CacheResponse.decode(
                 head.status().code(),
                 "1".equals(head.headers().get("Never-Ran")),
                 head.headers().get(HttpHeaderNames.CONTENT_LENGTH),
-                Buffer.buffer(bytes),
+                content,
                 head.headers().get(HttpHeaderNames.ETAG),
                 head.headers().get("Outcome"));
         // A 304 counts only for the tag that the request named: it must not confirm any other copy.
         boolean confirmsOtherCopy = response.result() == AttemptResult.NOT_MODIFIED
                 && (knownTag == null || !knownTag.equals(response.tag()));
         return confirmsOtherCopy
-                        || response.result() == AttemptResult.SERVED && repeatsPreviousResponse(response.tag(), bytes)
+                        || response.result() == AttemptResult.SERVED && repeatsPreviousResponse(response.tag(), content)
                 ? malformedResponse()
                 : response;
     }
 
     // Whether this is a second copy of the previous response, which came so late that its connection was in use
     // again: the content is the same though the request was for another path.
-    private boolean repeatsPreviousResponse(String tag, byte[] bytes) {
-        int hash = tag != null ? tag.hashCode() : Arrays.hashCode(bytes);
+    private boolean repeatsPreviousResponse(String tag, Buffer content) {
+        int hash = tag != null ? tag.hashCode() : ByteBufUtil.hashCode(((BufferInternal) content).getByteBuf());
         boolean repeats = previousPath != null
                 && !previousPath.equals(path)
-                && bytes.length > 0
+                && content.length() > 0
                 && Objects.equals(tag, previousTag)
                 && hash == previousHash;
         previousTag = tag;
@@ -232,6 +249,7 @@
 
     private CacheResponse malformedResponse() {
         reusable = false;
+        body = null;
         return CacheResponse.of(AttemptResult.MALFORMED);
     }
 }
--- a/src/main/java/pewtercourse/config/DirectorConfig.java
+++ b/src/main/java/pewtercourse/config/DirectorConfig.java
@@ -16,7 +16,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
-import pewtercourse.front.FrontLimits;
+import pewtercourse.memory.MemoryLimits;
 
 /**
  * Configuration of a director process: the GW_* variables and the JSON file that they name. This is the only place
@@ -171,19 +171,24 @@
         return 24 + sockets / 16 + (adminListen == null ? 0 : 16);
     }
 
-    /** Limits of the front: clients get a third of the descriptors, and 8 more serve as a margin for useless connections. */
-    public FrontLimits front() {
-        return new FrontLimits(Math.max(8, sockets / 3 + 8), (long) memoryMb << 16, (long) memoryMb << 17);
+    /** Maximum of client connections: a third of the descriptors, and 8 more as a margin for useless connections. */
+    public int maxClientConnections() {
+        return Math.max(8, sockets / 3 + 8);
+    }
+
+    /** How much the director may hold for others, from its memory limit and from the heap that the JVM was started with. */
+    public MemoryLimits memoryLimits() {
+        return MemoryLimits.of((long) memoryMb << 20, Runtime.getRuntime().maxMemory());
     }
 
     /** Maximum of accepted client connections: more than the front keeps, as the event loop closes excess ones later. */
     public int maxAcceptedConnections() {
-        return front().connections() + Math.max(4, sockets / 16);
+        return maxClientConnections() + Math.max(4, sockets / 16);
     }
 
     /** Maximum of connections to caches, idle or busy. With an inherited socket, two processes may share the limit. */
     public int maxCacheConnections() {
-        return Math.max(16, (sockets - front().connections() - otherDescriptors()) / (inheritsSocket ? 2 : 1));
+        return Math.max(16, (sockets - maxClientConnections() - otherDescriptors()) / (inheritsSocket ? 2 : 1));
     }
 
     /** The zone of this director, or "" if the settings name none. */
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -66,6 +66,9 @@
 import pewtercourse.gossip.GossipSocket;
 import pewtercourse.handover.OperatorState;
 import pewtercourse.hash.StableHash;
+import pewtercourse.memory.HeldBytes;
+import pewtercourse.memory.MemoryStage;
+import pewtercourse.memory.ReadControl;
 
 /**
  * Connects the sockets with the routing engine: passes events to the routers in order of arrival, in one batch
@@ -79,6 +82,10 @@
     // one that was answered before.
     private static final int MAX_ANSWERED_IDS = 4_096;
 
+    // Retry delay for clients that are rejected because too many bytes of responses are held. Their caches send these
+    // within a second.
+    private static final long MEMORY_RETRY_AFTER_MS = 250;
+
     // If a turn of the event loop starts later than this, expired requests are answered before all else.
     private static final long LATE_TURN_MICROS = 20_000;
 
@@ -91,6 +98,8 @@
     private final StartTimes startTimes;
     final boolean tracing = Boolean.getBoolean("pewtercourse.trace");
     private DirectorConfig config;
+    private final HeldBytes held;
+    private final ReadControl readControl;
     private final Vertx vertx;
     private final Context context;
     private final RouterEventQueue localRouterQueue;
@@ -115,9 +124,16 @@
     private Runnable peerMessageListener = () -> {};
     private boolean stopped;
 
-    /** Creates a director that sends requests to real caches. Must be called on the event loop's context. */
-    public Director(Vertx vertx, DirectorConfig config) {
-        this(vertx, config, new HttpTransport(vertx));
+    /**
+     * Creates a director that sends requests to real caches and counts the bytes of their responses. Must be called on the
+     * event loop's context.
+     */
+    public Director(Vertx vertx, DirectorConfig config, HeldBytes held) {
+        this(vertx, config, held, new ReadControl(held));
+    }
+
+    private Director(Vertx vertx, DirectorConfig config, HeldBytes held, ReadControl readControl) {
+        this(vertx, config, held, readControl, new HttpTransport(vertx, readControl), Timers.of(vertx));
     }
 
     /**
@@ -129,6 +145,22 @@
     }
 
     Director(Vertx vertx, DirectorConfig config, Transport transport, Timers timers) {
+        this(vertx, config, new HeldBytes(config.memoryLimits()), transport, timers);
+    }
+
+    Director(Vertx vertx, DirectorConfig config, HeldBytes held, Transport transport, Timers timers) {
+        this(vertx, config, held, new ReadControl(held), transport, timers);
+    }
+
+    private Director(
+            Vertx vertx,
+            DirectorConfig config,
+            HeldBytes held,
+            ReadControl readControl,
+            Transport transport,
+            Timers timers) {
+        this.held = held;
+        this.readControl = readControl;
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.config = config;
@@ -328,7 +360,9 @@
                 acceptedConfigs,
                 invalidConfigs,
                 localRouterQueue.router().status().givenUp(),
-                slowStartsByName());
+                slowStartsByName(),
+                held,
+                readControl);
     }
 
     private Map<String, SlowStartStatus> slowStartsByName() {
@@ -385,12 +419,26 @@
             answer.accept(Answer.failed());
             return () -> {};
         }
+        if (!readControl.admitsRequests()) {
+            rejectForMemory(answer);
+            return () -> {};
+        }
         ProxiedRequest request = new ProxiedRequest(this, clientRequest, classIndex, answer);
         requests.put(request.id, request);
         request.route();
         return request::onClientDisconnected;
     }
 
+    // Nothing of the request was sent, and what is held may last until its deadline.
+    private void rejectForMemory(Consumer<Answer> answer) {
+        held.recordRejection(MemoryStage.RECEIVING);
+        Log.counted("memory.rejected", "stage", MemoryStage.RECEIVING, "held", held.responseBytes());
+        long maxRetryAfterMs = siteSettings.router().retry().maxRetryAfter() / 1_000;
+        Answer refusal = Answer.refused(Math.min(MEMORY_RETRY_AFTER_MS, maxRetryAfterMs));
+        // The front takes a request that is answered at once for an invalid one, and reads its client more slowly.
+        timers.afterReads(() -> answer.accept(refusal));
+    }
+
     /** Answers all open requests as failed, at once. */
     public void failOpenRequests() {
         List.copyOf(requests.values()).forEach(ProxiedRequest::abort);
--- a/src/main/java/pewtercourse/director/Metrics.java
+++ b/src/main/java/pewtercourse/director/Metrics.java
@@ -11,6 +11,9 @@
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.RequestHandler;
+import pewtercourse.memory.HeldBytes;
+import pewtercourse.memory.MemoryStage;
+import pewtercourse.memory.ReadControl;
 
 /**
  * Counts requests and formats the metrics that operators read. A request is open from the moment it is passed
@@ -28,6 +31,8 @@
      * @param invalidConfigs  number of reloaded configurations that were invalid
      * @param givenUp         number of requests that the router rejected or failed, for each reason
      * @param slowStarts      the endpoints in slow start, by name
+     * @param held            the bytes held for clients and caches
+     * @param readControl     the pauses of reading from caches
      */
     public record GaugeValues(
             long requestsWritten,
@@ -36,7 +41,9 @@
             long acceptedConfigs,
             long invalidConfigs,
             Map<GiveUpReason, Long> givenUp,
-            Map<String, SlowStartStatus> slowStarts) {}
+            Map<String, SlowStartStatus> slowStarts,
+            HeldBytes held,
+            ReadControl readControl) {}
 
     private static final long MICROS_PER_MILLI = 1_000;
 
@@ -142,9 +149,23 @@
         }
         appendLine(text, "slow_start.endpoints", gauges.slowStarts().size());
         gauges.slowStarts().forEach((name, status) -> appendSlowStart(text, "slow_start." + name + '.', status));
+        appendMemory(text, gauges.held(), gauges.readControl());
         return text.toString();
     }
 
+    private static void appendMemory(StringBuilder text, HeldBytes held, ReadControl readControl) {
+        for (MemoryStage stage : MemoryStage.values()) {
+            String prefix = "memory." + stage.name().toLowerCase(Locale.ROOT) + '.';
+            appendLine(text, prefix + "bytes", held.bytes(stage));
+            appendLine(text, prefix + "peak_bytes", held.peakBytes(stage));
+            appendLine(text, prefix + "rejections", held.rejections(stage));
+        }
+        appendLine(text, "memory.request_limit_bytes", held.limits().requestBytes());
+        appendLine(text, "memory.response_limit_bytes", held.limits().responseBytes());
+        appendLine(text, "memory.paused_reads", readControl.pausedReads());
+        appendLine(text, "memory.pauses", readControl.pauses());
+    }
+
     private static void appendSlowStart(StringBuilder text, String prefix, SlowStartStatus status) {
         appendLine(text, prefix + "age_ms", status.ageMicros() / MICROS_PER_MILLI);
         appendLine(text, prefix + "budget_ms", status.budgetMicros() / MICROS_PER_MILLI);
--- a/src/main/java/pewtercourse/front/fastcgi/CgiRequest.java
+++ b/src/main/java/pewtercourse/front/fastcgi/CgiRequest.java
@@ -6,7 +6,7 @@
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
 
-/** Decodes requests from CGI parameters, and encodes answers as CGI responses. */
+/** Decodes requests from CGI parameters, and encodes the heads of answers as CGI responses. */
 final class CgiRequest {
     private static final String CLASS_PATH_PREFIX = "/ops/";
     private static final String HEALTH_PATH = "/alive";
@@ -104,8 +104,8 @@
                         + "' is not a number in the allowed range");
     }
 
-    /** Encodes an answer as a CGI response, head and body. */
-    static Buffer encode(Answer answer) {
+    /** Encodes the head of an answer as a CGI response; the body follows it unchanged. */
+    static Buffer encodeHead(Answer answer) {
         String status = switch (answer.kind()) {
             case SERVED, SAME -> "200 OK";
             case REFUSED -> "503 Service Unavailable";
@@ -123,6 +123,6 @@
         if (answer.kind() == Answer.Kind.REFUSED && answer.pushbackMs() > 0) {
             head.append("X-Pushback-Ms: ").append(answer.pushbackMs()).append("\r\n");
         }
-        return Buffer.buffer(head.append("\r\n").toString()).appendBuffer(answer.body());
+        return Buffer.buffer(head.append("\r\n").toString());
     }
 }
--- a/src/main/java/pewtercourse/front/fastcgi/ConnectionTable.java
+++ b/src/main/java/pewtercourse/front/fastcgi/ConnectionTable.java
@@ -8,7 +8,7 @@
 import pewtercourse.front.Drain;
 
 /**
- * Tracks all connections of a front and the bytes of their incomplete requests. Protects against clients that open hundreds
+ * Tracks all connections of a front. Protects against clients that open hundreds
  * of connections and send nothing, or send one request and keep the connection: when the table is full, a new connection
  * replaces a closing, silent or idle one. Confined to the event loop.
  */
@@ -31,18 +31,14 @@
     private static final long FIRST_REQUEST_GRACE_MICROS = 500_000;
 
     private final int maxConnections;
-    private final long maxRequestBytes;
     private final Set<FastCgiConnection> newConnections = new LinkedHashSet<>();
     private final Set<FastCgiConnection> idleConnections = new LinkedHashSet<>();
     private final Set<FastCgiConnection> closingConnections = new LinkedHashSet<>();
     private int connectionCount;
-    private long requestBytes;
     private Drain.Stage drainStage = Drain.Stage.OPEN;
 
-    /** Creates a table; {@code maxRequestBytes} limits the bytes of incomplete requests on all connections. */
-    ConnectionTable(int maxConnections, long maxRequestBytes) {
+    ConnectionTable(int maxConnections) {
         this.maxConnections = maxConnections;
-        this.maxRequestBytes = maxRequestBytes;
     }
 
     /** Makes room for a new connection; false if the table is full and no connection may be closed for it. */
@@ -105,19 +101,8 @@
         return drainStage;
     }
 
-    /** Adds to the bytes of incomplete requests, or subtracts if negative; false if the sum is over the limit. */
-    boolean addRequestBytes(long bytes) {
-        requestBytes += bytes;
-        return requestBytes <= maxRequestBytes;
-    }
-
     /** The number of connections that have not ended. */
     int connectionCount() {
         return connectionCount;
     }
-
-    /** The bytes of incomplete requests on all connections. */
-    long requestBytes() {
-        return requestBytes;
-    }
 }
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import pewtercourse.Log;
@@ -14,6 +15,9 @@
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.Drain;
 import pewtercourse.front.RequestHandler;
+import pewtercourse.memory.HeldBytes;
+import pewtercourse.memory.MemoryStage;
+import pewtercourse.memory.SocketReads;
 
 /**
  * One connection from a web server, with up to 32 open requests. A request collects PARAMS and STDIN, is handed over to the
@@ -28,9 +32,9 @@
     // a client that does not read its answers. Its records are still read, so that an abort or a close is
     // seen at once.
     private static final int MAX_UNWRITTEN_BYTES = 1 << 20;
-    // Limits what Vert.x buffers for one connection: 341 clients that do not read must fit into
-    // the direct memory.
-    private static final int WRITE_QUEUE_BYTES = 48 * 1024;
+    // Limits what Vert.x buffers for one connection, apart from one record: 341 clients that do not read must fit into
+    // the direct memory, also into the smaller one of a process that takes part in an upgrade.
+    private static final int WRITE_QUEUE_BYTES = 16 * 1024;
     // A request must be complete within this time: the first one counted from the connect, later ones from their
     // first record. Usual clients send a request at once.
     static final long REQUEST_TIMEOUT_MS = 2_500;
@@ -52,23 +56,17 @@
     // that has closed.
     static final long FIRST_PENALTY_MS = 20;
     static final long MAX_PENALTY_MS = 80;
+    // Smaller incomplete records are kept at the limit for the bytes of requests: they cost less than their rejection.
+    private static final int MIN_SKIPPED_BYTES = 1_024;
+    // The objects of an open request, apart from its parameters and its body.
+    private static final long OPEN_REQUEST_BYTES = 2_048;
     // The pushback for clients that are refused because a limit is reached.
     private static final long PUSHBACK_MS = 250;
 
-    /** Counts the bytes of unwritten answers on all connections; over the limit, a connection that has some is closed. */
-    static final class Backlog {
-        final long maxBytes;
-        long bytes;
-
-        Backlog(long maxBytes) {
-            this.maxBytes = maxBytes;
-        }
-    }
-
     private static final class OpenRequest {
         final int id;
         final boolean keepConnection;
-        final Buffer params = Buffer.buffer();
+        Buffer params = Buffer.buffer();
         final Buffer body = Buffer.buffer();
         boolean paramsEnded;
         boolean isComplete;
@@ -81,6 +79,10 @@
             this.id = id;
             this.keepConnection = keepConnection;
         }
+
+        long heldBytes() {
+            return OPEN_REQUEST_BYTES + params.length() + body.length();
+        }
     }
 
     private final NetSocket socket;
@@ -89,14 +91,13 @@
     private final LongSupplier arrivalClock;
     private final Timers timers;
     private final ConnectionTable table;
-    private final Backlog backlog;
+    private final HeldBytes held;
     private final long acceptedAtMicros;
     private final RecordReader reader = new RecordReader();
     private final Map<Integer, OpenRequest> openRequests = new HashMap<>();
-    private final Deque<Buffer> unwritten = new ArrayDeque<>();
+    private final OutputQueue output;
     private final Deque<OpenRequest> deferred = new ArrayDeque<>(); // Complete, until the client reads.
     private ConnectionTable.State state;
-    private long unwrittenBytes;
     private long countedRecordBytes;
     private long idleTimer = -1;
     private long penaltyTimer = -1;
@@ -118,7 +119,7 @@
             LongSupplier arrivalClock,
             Timers timers,
             ConnectionTable table,
-            Backlog backlog,
+            HeldBytes held,
             Runnable onSocketClosed) {
         this.socket = socket;
         this.handler = handler;
@@ -126,12 +127,13 @@
         this.arrivalClock = arrivalClock;
         this.timers = timers;
         this.table = table;
-        this.backlog = backlog;
+        this.held = held;
+        this.output = new OutputQueue(socket, held, this::onWriteFailed);
         this.acceptedAtMicros = clock.getAsLong();
         socket.setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
         socket.handler(this::read);
         socket.drainHandler(v -> writeQueued());
-        socket.exceptionHandler(e -> Log.counted("front.connection_error", "error", e));
+        socket.exceptionHandler(FastCgiConnection::onConnectionError);
         socket.closeHandler(v -> {
             onClosed();
             onSocketClosed.run();
@@ -139,6 +141,22 @@
         updateState();
     }
 
+    // A broken connection ends by its close handler. An Error concerns the whole process.
+    private static void onConnectionError(Throwable e) {
+        if (e instanceof Error error) {
+            throw error;
+        }
+        Log.counted("front.connection_error", "error", e);
+    }
+
+    // What could not be written is missing in the stream of records, so nothing may follow it.
+    private void onWriteFailed(Throwable e) {
+        if (e instanceof Error error) {
+            throw error;
+        }
+        close();
+    }
+
     /** The clock in microseconds when the connection was accepted. */
     long acceptedAtMicros() {
         return acceptedAtMicros;
@@ -198,7 +216,7 @@
     // A drain interrupts neither a request that has partly arrived nor an answer that the client
     // is still reading.
     private void closeAfterIdle() {
-        boolean inUse = !openRequests.isEmpty() || reader.pending() > 0 || !unwritten.isEmpty() || penaltyTimer >= 0;
+        boolean inUse = !openRequests.isEmpty() || reader.pending() > 0 || !output.isEmpty() || penaltyTimer >= 0;
         if (!inUse) {
             closeGracefully();
         } else if (table.drainStage() != Drain.Stage.OPEN && clock.getAsLong() < drainCutoffMicros) {
@@ -226,12 +244,47 @@
     private void countPartialRecord() {
         long addedBytes = reader.pending() - countedRecordBytes;
         countedRecordBytes += addedBytes;
-        if (!table.addRequestBytes(addedBytes) && reader.pending() > 0 && handedOverCount == 0) {
-            reportMalformed("the limit for the bytes of incomplete requests on all connections is reached");
-            close();
+        countRequestBytes(addedBytes);
+        if (held.requestsExceedLimit()) {
+            rejectIncompleteRecord();
+        }
+    }
+
+    // The client may have sent the rest of the request, and more of them: a close would lose these.
+    private void rejectIncompleteRecord() {
+        Record dropped = reader.pending() < MIN_SKIPPED_BYTES ? null : reader.skipIncomplete();
+        if (dropped == null) {
+            return;
+        }
+        countRequestBytes(-countedRecordBytes);
+        countedRecordBytes = 0;
+        OpenRequest request = openRequests.get(dropped.id());
+        if (request != null && !request.isComplete) {
+            rejectForMemory();
+            answer(dropped.id(), request, Answer.refused(PUSHBACK_MS));
+        }
+    }
+
+    private void countRequestBytes(long addedBytes) {
+        if (addedBytes >= 0) {
+            held.add(MemoryStage.REQUESTS, addedBytes);
+        } else {
+            held.release(MemoryStage.REQUESTS, -addedBytes);
         }
     }
 
+    private void rejectForMemory() {
+        held.recordRejection(MemoryStage.REQUESTS);
+        Log.counted(
+                "memory.rejected",
+                "stage",
+                MemoryStage.REQUESTS,
+                "held",
+                held.bytes(MemoryStage.REQUESTS),
+                "from",
+                this);
+    }
+
     // A record that has begun must be complete in time, also on a connection that has had requests.
     private void updatePartialRecordTimer(boolean progress) {
         if (progress || reader.pending() == 0) {
@@ -315,12 +368,20 @@
         }
     }
 
-    // A client that requests such answers at full speed and never reads them would fill the memory.
     private void writeManagementAnswer(Buffer answer) {
         write(answer);
-        if (unwrittenBytes > MAX_UNWRITTEN_BYTES) {
+        limitUnforwardedAnswers();
+    }
+
+    // A client that causes answers without a cache at full speed and never reads them would fill the memory.
+    private void limitUnforwardedAnswers() {
+        if (output.bytes() > MAX_UNWRITTEN_BYTES) {
             pauseReading();
         }
+        if (!output.isEmpty() && held.bytes(MemoryStage.ANSWERS) > held.limits().responseBytes()) {
+            Log.counted("front.slow_reader", "from", this, "waiting", output.bytes());
+            close();
+        }
     }
 
     private void begin(Record record, OpenRequest request) throws MalformedRecordException {
@@ -338,9 +399,11 @@
         if (openRequests.size() >= MAX_OPEN_REQUESTS) {
             reply(record.id(), newRequest, Answer.refused(PUSHBACK_MS), Record.OVERLOADED);
             pauseReading();
+            limitUnforwardedAnswers();
             return;
         }
         openRequests.put(record.id(), newRequest);
+        held.add(MemoryStage.REQUESTS, newRequest.heldBytes());
         long timeoutMs = hadRequest
                 ? REQUEST_TIMEOUT_MS
                 : Math.max(1, REQUEST_TIMEOUT_MS - (clock.getAsLong() - acceptedAtMicros) / 1000);
@@ -350,7 +413,7 @@
 
     private void append(Record record, OpenRequest request, Buffer collected, int maxBytes) {
         collected.appendBuffer(record.content());
-        boolean fits = table.addRequestBytes(record.content().length());
+        held.add(MemoryStage.REQUESTS, record.content().length());
         if (collected.length() > maxBytes) {
             // The rest of the request would only be discarded, and may be tens of megabytes.
             closeWhenWritten = true;
@@ -358,8 +421,8 @@
                     record.id(),
                     request,
                     (collected == request.params ? "PARAMS" : "STDIN") + " over " + maxBytes + " bytes");
-        } else if (!fits) {
-            reportMalformed("the limit for the bytes of incomplete requests on all connections is reached");
+        } else if (held.requestsExceedLimit()) {
+            rejectForMemory();
             answer(record.id(), request, Answer.refused(PUSHBACK_MS));
         }
     }
@@ -368,6 +431,7 @@
     private void reject(int id, OpenRequest request, String reason) {
         reportMalformed(reason);
         answer(id, request, Answer.failed());
+        limitUnforwardedAnswers();
     }
 
     private void reportMalformed(String reason) {
@@ -386,13 +450,12 @@
         }
     }
 
-    /** Cancels the timer of a request that is no longer open, and subtracts its bytes from the table. */
+    /** Cancels the timer of a request that is no longer open; its bytes are held no longer. */
     private void release(OpenRequest request) {
         timers.cancel(request.timer);
+        held.release(MemoryStage.REQUESTS, request.heldBytes());
         if (request.isHandedOver) {
             handedOverCount--;
-        } else {
-            table.addRequestBytes(-request.params.length() - request.body.length());
         }
         hadRequest = true;
     }
@@ -415,7 +478,7 @@
         timers.cancel(request.timer);
         request.isComplete = true;
         request.completedAtMicros = arrivalClock.getAsLong();
-        if (unwrittenBytes > MAX_UNWRITTEN_BYTES) {
+        if (output.bytes() > MAX_UNWRITTEN_BYTES) {
             deferred.add(request);
         } else {
             handOver(request);
@@ -423,7 +486,7 @@
     }
 
     private void handOverDeferred() {
-        while (!closed && unwrittenBytes <= MAX_UNWRITTEN_BYTES && !deferred.isEmpty()) {
+        while (!closed && output.bytes() <= MAX_UNWRITTEN_BYTES && !deferred.isEmpty()) {
             OpenRequest request = deferred.poll();
             if (openRequests.get(request.id) == request) {
                 handOver(request);
@@ -434,11 +497,10 @@
     private void handOver(OpenRequest request) {
         int id = request.id;
         request.isHandedOver = true;
-        table.addRequestBytes(-request.params.length() - request.body.length());
         handedOverCount++;
         updateState();
         try {
-            Map<String, String> params = Record.pairs(request.params);
+            Map<String, String> params = takeParams(request);
             if (CgiRequest.isHealthCheck(params)) {
                 answer(
                         id,
@@ -464,6 +526,14 @@
         }
     }
 
+    // The decoded parameters are small; their bytes are held no longer.
+    private Map<String, String> takeParams(OpenRequest request) throws MalformedRecordException {
+        Buffer params = request.params;
+        request.params = Buffer.buffer();
+        held.release(MemoryStage.REQUESTS, params.length());
+        return Record.pairs(params);
+    }
+
     /** Answers the request if it is still the open one with this id, and was not aborted meanwhile. */
     private void answer(int id, OpenRequest request, Answer answer) {
         if (closed || request == null || openRequests.get(id) != request) {
@@ -475,17 +545,10 @@
         updateState();
     }
 
-    // The last piece is written together with the records that end the answer, as each write costs a system call.
     private void reply(int id, OpenRequest request, Answer answer, int protocolStatus) {
-        Buffer response = CgiRequest.encode(answer);
-        int offset = 0;
-        for (; response.length() - offset > Record.STDOUT_PIECE_BYTES; offset += Record.STDOUT_PIECE_BYTES) {
-            enqueue(Record.encode(Record.STDOUT, id, response.slice(offset, offset + Record.STDOUT_PIECE_BYTES)));
-        }
         closeWhenWritten |= !request.keepConnection;
-        write(Record.encode(Record.STDOUT, id, response.slice(offset, response.length()))
-                .appendBuffer(Record.encode(Record.STDOUT, id, Buffer.buffer()))
-                .appendBuffer(Record.end(id, protocolStatus)));
+        output.add(AnswerRecords.encode(id, answer, protocolStatus));
+        writeQueued();
     }
 
     private static Buffer encodeLimits(Buffer names) throws MalformedRecordException {
@@ -501,47 +564,31 @@
         return Record.pairs(limits);
     }
 
-    private void enqueue(Buffer bytes) {
-        unwritten.add(bytes);
-        addUnwritten(bytes.length());
-    }
-
-    private void addUnwritten(long bytes) {
-        unwrittenBytes += bytes;
-        backlog.bytes += bytes;
-    }
-
     private void write(Buffer bytes) {
-        enqueue(bytes);
+        output.add(List.of(bytes));
         writeQueued();
     }
 
     // Writes until the socket is full, then pauses or resumes reading and closes the connection if it is
     // to be closed.
     private void writeQueued() {
-        while (!closed && !unwritten.isEmpty() && !socket.writeQueueFull()) {
-            Buffer bytes = unwritten.poll();
-            addUnwritten(-bytes.length());
-            socket.write(bytes);
-        }
         if (closed) {
             return;
         }
-        if (unwrittenBytes > 0 && backlog.bytes > backlog.maxBytes) {
-            Log.counted("front.slow_reader", "from", socket.remoteAddress(), "waiting", unwrittenBytes);
-            close();
+        output.write();
+        if (closed) {
             return;
         }
         if (readingPaused != penaltyTimer >= 0) {
             readingPaused = !readingPaused;
             if (readingPaused) {
-                socket.pause();
+                SocketReads.pause(socket);
             } else {
-                socket.resume();
+                SocketReads.resume(socket);
             }
         }
         handOverDeferred();
-        if (closeWhenWritten && unwritten.isEmpty() && openRequests.isEmpty()) {
+        if (closeWhenWritten && output.isEmpty() && openRequests.isEmpty()) {
             closeGracefully();
         }
     }
@@ -557,12 +604,11 @@
             return;
         }
         closed = true;
-        unwritten.clear();
+        output.clear();
         deferred.clear();
-        addUnwritten(-unwrittenBytes);
         timers.cancel(penaltyTimer);
         timers.cancel(partialRecordTimer);
-        table.addRequestBytes(-countedRecordBytes);
+        held.release(MemoryStage.REQUESTS, countedRecordBytes);
         for (OpenRequest request : openRequests.values()) {
             release(request);
             if (request.onClientGone != null) {
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
@@ -10,8 +10,8 @@
 import pewtercourse.Log;
 import pewtercourse.Timers;
 import pewtercourse.front.Drain;
-import pewtercourse.front.FrontLimits;
 import pewtercourse.front.RequestHandler;
+import pewtercourse.memory.HeldBytes;
 
 /** Accepts the connections of the web servers on one address. Used on the event loop. */
 public final class FastCgiServer {
@@ -21,18 +21,18 @@
     private final LongSupplier clock;
     private final ArrivalClock arrivalClock;
     private final ConnectionTable table;
-    private final FastCgiConnection.Backlog backlog;
+    private final HeldBytes held;
     private long nextStageTimer = -1;
     private int socketCount;
 
-    /** Creates a server; {@code clock} counts microseconds. */
-    public FastCgiServer(Vertx vertx, RequestHandler handler, LongSupplier clock, FrontLimits limits) {
+    /** Creates a server with this maximum of connections; {@code clock} counts microseconds. */
+    public FastCgiServer(Vertx vertx, RequestHandler handler, LongSupplier clock, int maxConnections, HeldBytes held) {
         this.timers = Timers.of(vertx);
         this.handler = handler;
         this.clock = clock;
         this.arrivalClock = new ArrivalClock(clock, timers);
-        this.table = new ConnectionTable(limits.connections(), limits.requestBytes());
-        this.backlog = new FastCgiConnection.Backlog(limits.answerBytes());
+        this.table = new ConnectionTable(maxConnections);
+        this.held = held;
         server = vertx.createNetServer(
                 new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(512).setReuseAddress(true));
         server.connectHandler(this::accept);
@@ -42,7 +42,7 @@
     private void accept(NetSocket socket) {
         socketCount++;
         if (table.admit(clock.getAsLong())) {
-            new FastCgiConnection(socket, handler, clock, arrivalClock, timers, table, backlog, () -> socketCount--);
+            new FastCgiConnection(socket, handler, clock, arrivalClock, timers, table, held, () -> socketCount--);
         } else {
             socket.closeHandler(v -> socketCount--);
             socket.close();
--- a/src/main/java/pewtercourse/front/fastcgi/Record.java
+++ b/src/main/java/pewtercourse/front/fastcgi/Record.java
@@ -28,16 +28,28 @@
 
     /** Encodes a record with its header and padding. */
     static Buffer encode(int type, int id, Buffer content) {
-        int padding = -content.length() & 7;
-        return Buffer.buffer(HEADER_BYTES + content.length() + padding)
+        return header(type, id, content.length()).appendBuffer(content).appendBuffer(padding(content.length()));
+    }
+
+    /** Encodes the header of a record with this length of content. */
+    static Buffer header(int type, int id, int contentLength) {
+        int padding = paddingBytes(contentLength);
+        return Buffer.buffer(HEADER_BYTES)
                 .appendByte((byte) 1)
                 .appendByte((byte) type)
                 .appendUnsignedShort(id)
-                .appendUnsignedShort(content.length())
+                .appendUnsignedShort(contentLength)
                 .appendByte((byte) padding)
-                .appendByte((byte) 0)
-                .appendBuffer(content)
-                .appendBytes(new byte[padding]);
+                .appendByte((byte) 0);
+    }
+
+    /** The padding behind a content of this length. */
+    static Buffer padding(int contentLength) {
+        return Buffer.buffer(new byte[paddingBytes(contentLength)]);
+    }
+
+    private static int paddingBytes(int contentLength) {
+        return -contentLength & 7;
     }
 
     /** Encodes the END_REQUEST record of a request. */
