Do not take a connection with unsent answers for idle

Cause: FastCgiConnection.currentState called a connection idle as soon as no request was open, though answers still waited, and closeAfterIdle then saw that it was in use and closed it.

Change: a connection with unsent output is at work.

--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -48,6 +48,8 @@
     static final long DRAIN_EMPTY_MS = 1;
     // The same for a connection that has had no request yet.
     static final long DRAIN_NEW_MS = 100;
+    // A connection whose client reads nothing of its answers for this long is closed.
+    static final long STALL_TIMEOUT_MS = 5_000;
     // How long a graceful close waits for the client's close before it closes the connection.
     static final long LINGER_TIMEOUT_MS = 150;
     // After malformed input the connection is not read for a while, longer each time, so that a client that
@@ -101,6 +103,7 @@
     private long countedRecordBytes;
     private long idleTimer = -1;
     private long penaltyTimer = -1;
+    private long stallTimer = -1;
     private long partialRecordTimer = -1;
     private long penaltyMs;
     private long drainCutoffMicros;
@@ -192,7 +195,7 @@
         if (closing) {
             return ConnectionTable.State.CLOSING;
         }
-        if (handedOverCount > 0) {
+        if (handedOverCount > 0 || !output.isEmpty()) {
             return ConnectionTable.State.WORKING;
         }
         return hadRequest ? ConnectionTable.State.IDLE : ConnectionTable.State.NEW;
@@ -575,7 +578,7 @@
         if (closed) {
             return;
         }
-        output.write();
+        updateStallTimer(output.write());
         if (closed) {
             return;
         }
@@ -591,6 +594,21 @@
         if (closeWhenWritten && output.isEmpty() && openRequests.isEmpty()) {
             closeGracefully();
         }
+        updateState();
+    }
+
+    // A client may read as slowly as it likes, but it has to read.
+    private void updateStallTimer(boolean progress) {
+        if (progress || output.isEmpty()) {
+            timers.cancel(stallTimer);
+            stallTimer = -1;
+        }
+        if (stallTimer < 0 && !output.isEmpty()) {
+            stallTimer = timers.set(STALL_TIMEOUT_MS, () -> {
+                Log.counted("front.slow_reader", "from", this, "waiting", output.bytes());
+                close();
+            });
+        }
     }
 
     /** Closes the connection at once, with all its open requests. */
@@ -607,6 +625,7 @@
         output.clear();
         deferred.clear();
         timers.cancel(penaltyTimer);
+        timers.cancel(stallTimer);
         timers.cancel(partialRecordTimer);
         held.release(MemoryStage.REQUESTS, countedRecordBytes);
         for (OpenRequest request : openRequests.values()) {
--- a/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
+++ b/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
@@ -67,6 +67,7 @@
         int abortedHandedOver;
         int lastCorrelationId;
         int writeCount;
+        int fullAfterWrites;
         boolean writeQueueFull;
         boolean closed;
         boolean readingPaused;
@@ -103,6 +104,7 @@
                             set(
                                     () -> {
                                         writeCount++;
+                                        writeQueueFull |= writeCount == fullAfterWrites;
                                         writtenRecords.add((Buffer) arguments[0]);
                                         output.appendBuffer((Buffer) arguments[0]);
                                     },
@@ -251,6 +253,16 @@
             }
         }
 
+        /** Lets the client read as much as makes room for one piece. */
+        void writeOnePiece() {
+            int before = writeCount;
+            fullAfterWrites = writeCount + 1;
+            writeQueueFull = false;
+            drainHandler.handle(null);
+            assertEquals(before + 1, writeCount);
+            readAnswers();
+        }
+
         void readAnswers() {
             try {
                 for (Record record = writtenRecords.next(); record != null; record = writtenRecords.next()) {
@@ -563,6 +575,25 @@
         assertEquals(0, model.held.bytes(MemoryStage.ANSWERS));
     }
 
+    // Guards against a connection that is closed as idle while its client still reads its answers, slowly.
+    @Example
+    void doesNotCloseAConnectionWhoseClientReadsSlowly() {
+        Model model = new Model();
+        model.setReading(false);
+        model.begin(1);
+        model.sendBody(1, 0);
+        model.answer(1, 240_000);
+        long stallTimer = model.lastTimer;
+        for (int piece = 0; piece < 7; piece++) {
+            model.writeOnePiece();
+            assertTrue(model.lastTimer > stallTimer, "the time without progress begins anew with each piece");
+            stallTimer = model.lastTimer;
+            assertEquals(1, model.timers.size(), "no other timer limits a slow reader");
+        }
+        model.setReading(true);
+        assertTrue(model.unreadAnswers.get(1).isEmpty(), "the answer was lost");
+    }
+
     @Example
     void defersRequestsOfAClientThatNeverReadsAndClosesItsConnection() {
         Model model = new Model();
