Add a load whose clients leave at their deadline while the director falls behind

The director may share its core with busy processes or be stopped time and again.

FastCgiClient writes a request in one piece and can abort it.

--- a/src/main/java/pewtercourse/CommandLine.java
+++ b/src/main/java/pewtercourse/CommandLine.java
@@ -3,6 +3,9 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import pewtercourse.backlog.BacklogPlan;
+import pewtercourse.backlog.BacklogResult;
+import pewtercourse.backlog.BacklogRun;
 import pewtercourse.config.ConfigException;
 import pewtercourse.emulator.Scenario;
 import pewtercourse.experiment.Experiments;
@@ -148,6 +151,41 @@
             return Soak.play(first, last, seconds, parallel, classPath, into, System.out) ? EXIT_OK : EXIT_REFUSED;
         }
 
+        @Command(
+                name = "backlog",
+                description = "Clients that leave at their deadline, against a director that falls behind; exit code 1"
+                        + " if a term was broken.",
+                mixinStandardHelpOptions = true)
+        int backlog(
+                @Option(names = "--rate", defaultValue = "250", description = "requests a second") int rate,
+                @Option(names = "--seconds", defaultValue = "6") int seconds,
+                @Option(names = "--deadline-ms", defaultValue = "700") int deadlineMs,
+                @Option(names = "--leave", defaultValue = "ABORT", description = "${COMPLETION-CANDIDATES}")
+                        BacklogPlan.Way leave,
+                @Option(names = "--early", defaultValue = "0", description = "share of clients that leave earlier")
+                        double earlyShare,
+                @Option(names = "--busy", defaultValue = "0", description = "processes that share the core") int busy,
+                @Option(names = "--stop-ms", defaultValue = "0", description = "length of each SIGSTOP") int stopMs,
+                @Option(names = "--run-ms", defaultValue = "2000", description = "time between two stops") int runMs,
+                @Option(names = "--cache-ms", defaultValue = "30", description = "time of a cache for an answer")
+                        int cacheMs,
+                @Option(names = "--seed", defaultValue = "1") long seed,
+                @Option(names = "--jar", paramLabel = "FILE", description = "the director's program; else this one")
+                        Path jar,
+                @Option(names = "--into", paramLabel = "FOLDER", defaultValue = "target/backlog") Path into)
+                throws Exception {
+            BacklogPlan plan = new BacklogPlan(
+                    new BacklogPlan.Load(rate, seconds, deadlineMs),
+                    new BacklogPlan.Leaving(leave, earlyShare),
+                    new BacklogPlan.Disturbance(busy, stopMs, runMs),
+                    cacheMs,
+                    seed);
+            BacklogResult result =
+                    BacklogRun.play(plan, into, jar == null ? System.getProperty("java.class.path") : jar.toString());
+            System.out.print(result.report());
+            return result.passed() ? EXIT_OK : EXIT_REFUSED;
+        }
+
         private interface Measurement {
             void run() throws Exception;
         }
--- /dev/null
+++ b/src/main/java/pewtercourse/backlog/BacklogClients.java
@@ -0,0 +1,159 @@
+package pewtercourse.backlog;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.LongSupplier;
+import pewtercourse.emulator.Catalogue;
+import pewtercourse.front.fastcgi.FastCgiClient;
+
+/**
+ * Clients that send requests in an open loop on kept connections and leave when their time is over. Confined to an event
+ * loop of their own; times are microseconds.
+ */
+final class BacklogClients {
+    private static final long MICROS_PER_MILLI = 1_000;
+    private static final int MAX_CONNECTIONS = 300;
+    private static final int OBJECTS = 200;
+
+    private final Vertx vertx;
+    private final SocketAddress director;
+    private final BacklogPlan plan;
+    private final BacklogOracle oracle;
+    private final LongSupplier clock;
+    private final Random random;
+    private final ArrayDeque<FastCgiClient> idle = new ArrayDeque<>();
+    private int connections;
+    private int open;
+    private int sent;
+    private long startedAt;
+
+    BacklogClients(Vertx vertx, SocketAddress director, BacklogPlan plan, BacklogOracle oracle, LongSupplier clock) {
+        this.vertx = vertx;
+        this.director = director;
+        this.plan = plan;
+        this.oracle = oracle;
+        this.clock = clock;
+        this.random = new Random(plan.seed());
+    }
+
+    /** Begins the load. */
+    void start() {
+        startedAt = clock.getAsLong();
+        vertx.setPeriodic(1, timer -> {
+            long elapsed = clock.getAsLong() - startedAt;
+            long due = Math.min(total(), elapsed * plan.load().requestsPerSecond() / 1_000_000);
+            while (sent < due) {
+                sent++;
+                sendNext();
+            }
+        });
+    }
+
+    private long total() {
+        return (long) plan.load().requestsPerSecond() * plan.load().seconds();
+    }
+
+    /** Whether all requests were sent and have ended. */
+    boolean isFinished() {
+        return sent >= total() && open == 0;
+    }
+
+    private void sendNext() {
+        open++;
+        FastCgiClient kept = idle.pollFirst();
+        while (kept != null && kept.isClosed()) {
+            connections--;
+            kept = idle.pollFirst();
+        }
+        if (kept != null) {
+            send(kept);
+        } else if (connections < MAX_CONNECTIONS) {
+            connections++;
+            FastCgiClient.connect(vertx, director).onSuccess(this::send).onFailure(e -> {
+                connections--;
+                open--;
+            });
+        } else {
+            open--;
+        }
+    }
+
+    private void send(FastCgiClient connection) {
+        String id = String.format("%016x", random.nextLong());
+        long deadline = plan.load().deadlineMs() * MICROS_PER_MILLI;
+        boolean[] ended = new boolean[1];
+        oracle.requestSent(id, clock.getAsLong(), deadline);
+        connection.send(params(id)).onComplete(result -> {
+            if (ended[0]) {
+                onEndAfterLeave(connection, result.succeeded());
+                return;
+            }
+            ended[0] = true;
+            open--;
+            if (result.succeeded()) {
+                oracle.answered(id, clock.getAsLong(), statusOf(result.result()));
+                idle.addFirst(connection);
+            } else {
+                connections--;
+                oracle.unanswered(id, clock.getAsLong(), result.cause().getMessage());
+            }
+        });
+        boolean leavesEarly = random.nextDouble() < plan.leaving().earlyShare();
+        long patienceMs = leavesEarly
+                ? 1 + random.nextInt(plan.load().deadlineMs())
+                : plan.load().deadlineMs();
+        vertx.setTimer(patienceMs, timer -> {
+            if (!ended[0]) {
+                ended[0] = true;
+                open--;
+                leave(id, connection);
+            }
+        });
+    }
+
+    // After an abort the connection is used again once the director has ended the request.
+    private void onEndAfterLeave(FastCgiClient connection, boolean usable) {
+        if (usable && plan.leaving().way() == BacklogPlan.Way.ABORT) {
+            idle.addFirst(connection);
+        }
+    }
+
+    private void leave(String id, FastCgiClient connection) {
+        if (plan.leaving().way() == BacklogPlan.Way.ABORT) {
+            connection.abort();
+        } else {
+            connections--;
+            connection.close();
+        }
+        oracle.clientLeft(id, clock.getAsLong());
+    }
+
+    private static String statusOf(Buffer answer) {
+        String text = answer.toString("ISO-8859-1");
+        return text.startsWith("Status: ") ? text.substring(8, 11) : "none";
+    }
+
+    private Map<String, String> params(String id) {
+        return Map.of(
+                "SCRIPT_NAME",
+                "/ops/menu-page",
+                "REQUEST_METHOD",
+                "GET",
+                "HTTP_X_CORRELATION_ID",
+                id,
+                "HTTP_X_SUBJECT",
+                String.format("%016x", random.nextInt(OBJECTS)),
+                "HTTP_X_TAG",
+                "17",
+                "HTTP_X_CHUNK",
+                "0",
+                "HTTP_X_NEED_KB",
+                String.valueOf(Catalogue.KB_PER_MS * plan.cacheDelayMs()),
+                "HTTP_X_DEADLINE_MS",
+                String.valueOf(plan.load().deadlineMs()));
+    }
+}
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiClient.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiClient.java
@@ -58,13 +58,25 @@
         }
         answer = Promise.promise();
         response = Buffer.buffer();
-        socket.write(Record.encode(Record.BEGIN, 1, Buffer.buffer(new byte[] {0, 1, 1, 0, 0, 0, 0, 0})));
-        socket.write(Record.encode(Record.PARAMS, 1, Record.pairs(params)));
-        socket.write(Record.encode(Record.PARAMS, 1, Buffer.buffer()));
-        socket.write(Record.encode(Record.STDIN, 1, Buffer.buffer()));
+        Buffer records = Buffer.buffer()
+                .appendBuffer(Record.encode(Record.BEGIN, 1, Buffer.buffer(new byte[] {0, 1, 1, 0, 0, 0, 0, 0})))
+                .appendBuffer(Record.encode(Record.PARAMS, 1, Record.pairs(params)))
+                .appendBuffer(Record.encode(Record.PARAMS, 1, Buffer.buffer()))
+                .appendBuffer(Record.encode(Record.STDIN, 1, Buffer.buffer()));
+        socket.write(records);
         return answer.future();
     }
 
+    /** Withdraws the open request; its answer is what the server sends before it ends the request. */
+    public void abort() {
+        socket.write(Record.encode(Record.ABORT, 1, Buffer.buffer()));
+    }
+
+    /** Whether the connection has ended. */
+    public boolean isClosed() {
+        return closed;
+    }
+
     /** Closes the connection. */
     public void close() {
         socket.close();
