Tell how long requests may have waited in their sockets before they were read

TurnRecordingIoHandler records each poll of an event loop. ArrivalTracker tells for one socket the last time at which it was known to be empty: a read that found nothing, or a complete poll that did not report it; polls while reading is paused tell nothing. Nothing decides by it yet.

--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -201,7 +201,7 @@
 
     @Override
     public String metrics() {
-        String own = metrics.format(director.gaugeValues(acceptedReloads, invalidReloads));
+        String own = metrics.format(director.gaugeValues(acceptedReloads, invalidReloads, front.delays()));
         return clusterBridge == null ? own : own + clusterBridge.formatMetrics();
     }
 
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -62,6 +62,7 @@
 import pewtercourse.failover.Sites;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
+import pewtercourse.front.ReadDelays;
 import pewtercourse.front.RequestHandler;
 import pewtercourse.gossip.GossipSocket;
 import pewtercourse.handover.OperatorState;
@@ -352,7 +353,7 @@
     }
 
     /** Current values of the metrics that the parts of the director and its caller keep. */
-    public Metrics.GaugeValues gaugeValues(long acceptedConfigs, long invalidConfigs) {
+    public Metrics.GaugeValues gaugeValues(long acceptedConfigs, long invalidConfigs, ReadDelays delays) {
         return new Metrics.GaugeValues(
                 pool.requestsWritten(),
                 registry.size(),
@@ -362,7 +363,8 @@
                 localRouterQueue.router().status().givenUp(),
                 slowStartsByName(),
                 held,
-                readControl);
+                readControl,
+                delays);
     }
 
     private Map<String, SlowStartStatus> slowStartsByName() {
--- a/src/main/java/pewtercourse/director/Metrics.java
+++ b/src/main/java/pewtercourse/director/Metrics.java
@@ -10,6 +10,7 @@
 import pewtercourse.decision.SlowStartStatus;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
+import pewtercourse.front.ReadDelays;
 import pewtercourse.front.RequestHandler;
 import pewtercourse.memory.HeldBytes;
 import pewtercourse.memory.MemoryStage;
@@ -33,6 +34,7 @@
      * @param slowStarts      the endpoints in slow start, by name
      * @param held            the bytes held for clients and caches
      * @param readControl     the pauses of reading from caches
+     * @param delays          how long requests may have waited before they were read
      */
     public record GaugeValues(
             long requestsWritten,
@@ -43,7 +45,8 @@
             Map<GiveUpReason, Long> givenUp,
             Map<String, SlowStartStatus> slowStarts,
             HeldBytes held,
-            ReadControl readControl) {}
+            ReadControl readControl,
+            ReadDelays delays) {}
 
     private static final long MICROS_PER_MILLI = 1_000;
 
@@ -150,6 +153,9 @@
         appendLine(text, "slow_start.endpoints", gauges.slowStarts().size());
         gauges.slowStarts().forEach((name, status) -> appendSlowStart(text, "slow_start." + name + '.', status));
         appendMemory(text, gauges.held(), gauges.readControl());
+        appendLine(text, "read_delays.late", gauges.delays().lateReads());
+        appendLine(text, "read_delays.longest_ms", gauges.delays().longestWaitMicros() / MICROS_PER_MILLI);
+        appendLine(text, "clients_left", gauges.delays().clientsLeft());
         return text.toString();
     }
 
--- a/src/main/java/pewtercourse/director/ProxiedRequest.java
+++ b/src/main/java/pewtercourse/director/ProxiedRequest.java
@@ -309,7 +309,9 @@
                 "out",
                 !running.isEmpty(),
                 "late_ms",
-                (director.clock.getAsLong() - deadline) / 1000);
+                (director.clock.getAsLong() - deadline) / 1000,
+                "age_ms",
+                (director.clock.getAsLong() - request.receivedAtMicros()) / 1000);
         abort();
     }
 
--- /dev/null
+++ b/src/main/java/pewtercourse/eventloop/TrackedReads.java
@@ -0,0 +1,54 @@
+package pewtercourse.eventloop;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelConfig;
+import io.netty.channel.RecvByteBufAllocator;
+
+/**
+ * Sizes the reads of a socket and reports them to its {@link ArrivalTracker}. A socket that is ready is read until nothing is
+ * left, or a limit of reads is reached: a short read alone does not show that it is empty.
+ */
+final class TrackedReads implements RecvByteBufAllocator {
+    private final ArrivalTracker arrivals;
+    private final RecvByteBufAllocator sizes = new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false);
+
+    TrackedReads(ArrivalTracker arrivals) {
+        this.arrivals = arrivals;
+    }
+
+    @Override
+    @SuppressWarnings("deprecation") // The interface declares only this one.
+    public Handle newHandle() {
+        return new TrackedHandle(sizes.newHandle());
+    }
+
+    private final class TrackedHandle extends DelegatingHandle {
+        private long readBeganNanos;
+
+        TrackedHandle(Handle delegate) {
+            super(delegate);
+        }
+
+        @Override
+        public void reset(ChannelConfig config) {
+            arrivals.beginReads();
+            super.reset(config);
+        }
+
+        @Override
+        public ByteBuf allocate(ByteBufAllocator allocator) {
+            readBeganNanos = System.nanoTime();
+            return super.allocate(allocator);
+        }
+
+        @Override
+        public void lastBytesRead(int bytes) {
+            if (bytes == 0) {
+                arrivals.recordEmptyAt(readBeganNanos);
+            }
+            super.lastBytesRead(bytes);
+        }
+    }
+}
--- a/src/main/java/pewtercourse/front/FrontTransport.java
+++ b/src/main/java/pewtercourse/front/FrontTransport.java
@@ -5,12 +5,14 @@
 import io.netty.channel.ServerChannel;
 import io.vertx.core.impl.transports.NioTransport;
 import io.vertx.core.transport.Transport;
+import pewtercourse.eventloop.TurnRecordingIoHandler;
 
 /**
- * The NIO transport of Vert.x with three changes: the event loop waits in whole milliseconds
- * ({@link WholeMillisecondWaits}), servers go on accepting soon after a failed accept ({@link RetryingListener}), and the clients' server listens on the given channel. The clients' server is the first
- * server that is opened after {@link #useListenerForNextServer}; other servers, such as the cluster's, may be opened before
- * and after.
+ * The NIO transport of Vert.x with four changes: the event loop waits in whole milliseconds
+ * ({@link WholeMillisecondWaits}) and records its turns ({@link TurnRecordingIoHandler}), servers go on accepting soon after
+ * a failed accept ({@link RetryingListener}), and the clients' server listens on the given channel. The clients' server is
+ * the first server that is opened after {@link #useListenerForNextServer}; other servers, such as the cluster's, may be
+ * opened before and after.
  */
 public final class FrontTransport implements Transport {
     private final ServerChannel listener;
@@ -45,7 +47,7 @@
         return new NioTransport() {
             @Override
             public IoHandlerFactory ioHandlerFactory() {
-                return WholeMillisecondWaits.factory(super.ioHandlerFactory());
+                return TurnRecordingIoHandler.factory(WholeMillisecondWaits.factory(super.ioHandlerFactory()));
             }
 
             @Override
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -11,9 +11,12 @@
 import java.util.function.LongSupplier;
 import pewtercourse.Log;
 import pewtercourse.Timers;
+import pewtercourse.eventloop.ArrivalTracker;
+import pewtercourse.eventloop.SocketInput;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.Drain;
+import pewtercourse.front.ReadDelays;
 import pewtercourse.front.RequestHandler;
 import pewtercourse.memory.HeldBytes;
 import pewtercourse.memory.MemoryStage;
@@ -62,6 +65,9 @@
     private static final int MIN_SKIPPED_BYTES = 1_024;
     // The objects of an open request, apart from its parameters and its body.
     private static final long OPEN_REQUEST_BYTES = 2_048;
+    private static final long NANOS_PER_MICRO = 1_000;
+    private static final long MICROS_PER_MILLI = 1_000;
+    private static final boolean TRACING = Boolean.getBoolean("pewtercourse.trace");
     // The pushback for clients that are refused because a limit is reached.
     private static final long PUSHBACK_MS = 250;
 
@@ -94,6 +100,8 @@
     private final Timers timers;
     private final ConnectionTable table;
     private final HeldBytes held;
+    private final ReadDelays delays;
+    private final ArrivalTracker arrivals;
     private final long acceptedAtMicros;
     private final RecordReader reader = new RecordReader();
     private final Map<Integer, OpenRequest> openRequests = new HashMap<>();
@@ -123,8 +131,11 @@
             Timers timers,
             ConnectionTable table,
             HeldBytes held,
+            ReadDelays delays,
             Runnable onSocketClosed) {
         this.socket = socket;
+        this.arrivals = SocketInput.trackArrivals(socket);
+        this.delays = delays;
         this.handler = handler;
         this.clock = clock;
         this.arrivalClock = arrivalClock;
@@ -307,6 +318,7 @@
         if (closing) {
             return;
         }
+        arrivals.beginReads();
         try {
             reader.add(bytes);
             boolean progress = false;
@@ -469,18 +481,33 @@
         }
         openRequests.remove(id);
         release(request);
-        if (request.onClientGone != null) {
-            request.onClientGone.run();
-        }
+        onClientLeft(request, "abort");
         closeWhenWritten |= !request.keepConnection;
         write(Record.end(id, Record.REQUEST_COMPLETE));
         updateState();
     }
 
+    private void onClientLeft(OpenRequest request, String reason) {
+        if (request.onClientGone == null) {
+            return;
+        }
+        delays.recordClientLeft();
+        if (TRACING) {
+            long waitedMs = arrivals.longestWaitNanos() / NANOS_PER_MICRO / MICROS_PER_MILLI;
+            Log.info("client.left", "from", this, "record", request.id, "reason", reason, "waited_ms", waitedMs);
+        }
+        request.onClientGone.run();
+    }
+
     private void onRequestComplete(OpenRequest request) {
         timers.cancel(request.timer);
         request.isComplete = true;
         request.completedAtMicros = arrivalClock.getAsLong();
+        long waitedMicros = arrivals.longestWaitNanos() / NANOS_PER_MICRO;
+        delays.recordRead(toString(), waitedMicros);
+        if (TRACING) {
+            Log.info("request.read", "from", this, "record", request.id, "waited_ms", waitedMicros / MICROS_PER_MILLI);
+        }
         if (output.bytes() > MAX_UNWRITTEN_BYTES) {
             deferred.add(request);
         } else {
@@ -585,8 +612,10 @@
         if (readingPaused != penaltyTimer >= 0) {
             readingPaused = !readingPaused;
             if (readingPaused) {
+                arrivals.pause();
                 SocketReads.pause(socket);
             } else {
+                arrivals.resume();
                 SocketReads.resume(socket);
             }
         }
@@ -630,9 +659,7 @@
         held.release(MemoryStage.REQUESTS, countedRecordBytes);
         for (OpenRequest request : openRequests.values()) {
             release(request);
-            if (request.onClientGone != null) {
-                request.onClientGone.run();
-            }
+            onClientLeft(request, "close");
         }
         openRequests.clear();
         updateState();
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
@@ -10,6 +10,7 @@
 import pewtercourse.Log;
 import pewtercourse.Timers;
 import pewtercourse.front.Drain;
+import pewtercourse.front.ReadDelays;
 import pewtercourse.front.RequestHandler;
 import pewtercourse.memory.HeldBytes;
 
@@ -22,6 +23,7 @@
     private final ArrivalClock arrivalClock;
     private final ConnectionTable table;
     private final HeldBytes held;
+    private final ReadDelays delays = new ReadDelays();
     private long nextStageTimer = -1;
     private int socketCount;
 
@@ -42,7 +44,8 @@
     private void accept(NetSocket socket) {
         socketCount++;
         if (table.admit(clock.getAsLong())) {
-            new FastCgiConnection(socket, handler, clock, arrivalClock, timers, table, held, () -> socketCount--);
+            new FastCgiConnection(
+                    socket, handler, clock, arrivalClock, timers, table, held, delays, () -> socketCount--);
         } else {
             socket.closeHandler(v -> socketCount--);
             socket.close();
@@ -63,6 +66,11 @@
         return socketCount;
     }
 
+    /** How long requests may have waited before they were read. */
+    public ReadDelays delays() {
+        return delays;
+    }
+
     /** Stops listening and closes all connections. */
     public Future<Void> close() {
         arrivalClock.stop();
--- a/src/test/java/pewtercourse/director/MetricsModelTest.java
+++ b/src/test/java/pewtercourse/director/MetricsModelTest.java
@@ -17,6 +17,7 @@
 import pewtercourse.decision.SlowStartStatus;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientRequest;
+import pewtercourse.front.ReadDelays;
 import pewtercourse.front.RequestHandler;
 import pewtercourse.memory.HeldBytes;
 import pewtercourse.memory.MemoryLimits;
@@ -99,7 +100,8 @@
                 Map.of(GiveUpReason.SLOW_START, 4L),
                 Map.of("s-1", new SlowStartStatus(1, 0.5, 2_000, 9_000, 8_000, 6)),
                 held,
-                new ReadControl(held)));
+                new ReadControl(held),
+                delays()));
         for (String className : List.of("menu-media", "menu-page")) {
             int served = received.getOrDefault(className + "SERVED", 0) + received.getOrDefault(className + "SAME", 0);
             assertTrue(text.contains("operations." + className + ".fulfilled=" + served + "\n"), text);
@@ -120,7 +122,16 @@
                         + "memory.receiving.bytes=20\nmemory.receiving.peak_bytes=30\nmemory.receiving.rejections=1\n"
                         + "memory.answers.bytes=0\nmemory.answers.peak_bytes=0\nmemory.answers.rejections=0\n"
                         + "memory.request_limit_bytes=100\nmemory.response_limit_bytes=200\n"
-                        + "memory.paused_reads=0\nmemory.pauses=0\n"),
+                        + "memory.paused_reads=0\nmemory.pauses=0\n"
+                        + "read_delays.late=1\nread_delays.longest_ms=150\nclients_left=1\n"),
                 text);
     }
+
+    private static ReadDelays delays() {
+        ReadDelays delays = new ReadDelays();
+        delays.recordRead("web-1", 90_000);
+        delays.recordRead("web-1", 150_000);
+        delays.recordClientLeft();
+        return delays;
+    }
 }
--- a/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
+++ b/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
@@ -31,6 +31,7 @@
 import pewtercourse.Timers;
 import pewtercourse.front.Answer;
 import pewtercourse.front.Drain;
+import pewtercourse.front.ReadDelays;
 import pewtercourse.memory.HeldBytes;
 import pewtercourse.memory.MemoryLimits;
 import pewtercourse.memory.MemoryStage;
@@ -153,6 +154,7 @@
                     },
                     table,
                     held,
+                    new ReadDelays(),
                     () -> {});
         }
 
