Count a request's deadline from its earliest possible arrival, not from its read

Callers saw: caches got up to 0.4 s more than the client had left, and attempts were made for clients whose time was over. Cause: a request that had waited in its socket or in the accept queue counted as sent when it was read. ArrivalClock saw only a heartbeat that was over 60 ms late, so a backlog that grows in turns of 50 ms went unnoticed. Class: the time at which something is read is taken for the time at which it happened.

ArrivalClock and its heartbeat are gone; ClientRequest.receivedAtMicros is arrivedAtMicros.

--- a/src/main/java/pewtercourse/director/ProxiedRequest.java
+++ b/src/main/java/pewtercourse/director/ProxiedRequest.java
@@ -88,7 +88,7 @@
      */
     static long deadlineOf(ClientRequest request) {
         long waitMicros = (long) (request.deadlineMs() * 1000);
-        return request.receivedAtMicros()
+        return request.arrivedAtMicros()
                 + waitMicros
                 - (long) Math.min(MAX_DEADLINE_MARGIN_MICROS, DEADLINE_MARGIN_FRACTION * waitMicros);
     }
@@ -311,7 +311,7 @@
                 "late_ms",
                 (director.clock.getAsLong() - deadline) / 1000,
                 "age_ms",
-                (director.clock.getAsLong() - request.receivedAtMicros()) / 1000);
+                (director.clock.getAsLong() - request.arrivedAtMicros()) / 1000);
         abort();
     }
 
@@ -339,7 +339,7 @@
                         "attempts",
                         attempts,
                         "ms",
-                        (director.clock.getAsLong() - request.receivedAtMicros()) / 1000);
+                        (director.clock.getAsLong() - request.arrivedAtMicros()) / 1000);
             }
             director.recordAnswered(this);
             answer.accept(finalAnswer);
--- a/src/main/java/pewtercourse/front/ClientRequest.java
+++ b/src/main/java/pewtercourse/front/ClientRequest.java
@@ -8,7 +8,8 @@
  * @param knownTag the tag of a copy that the client has, or null
  * @param idempotencyKey the same for all tries of one operation, or null; printable ASCII without blanks
  * @param clientRetry whether the client marked the request as a retry of an earlier one
- * @param receivedAtMicros the clock in microseconds when the last byte was read
+ * @param arrivedAtMicros the clock in microseconds at the earliest time at which the last byte may have arrived; it may have
+ *     waited in the socket until it was read
  * @param deadlineMs how long the client waits for the answer from then on
  */
 public record ClientRequest(
@@ -22,5 +23,5 @@
         String idempotencyKey,
         boolean clientRetry,
         Buffer body,
-        long receivedAtMicros,
+        long arrivedAtMicros,
         double deadlineMs) {}
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -80,7 +80,7 @@
         boolean isComplete;
         boolean isHandedOver;
         long timer = -1;
-        long completedAtMicros;
+        long arrivedAtMicros;
         Runnable onClientGone;
 
         OpenRequest(int id, boolean keepConnection) {
@@ -96,7 +96,6 @@
     private final NetSocket socket;
     private final RequestHandler handler;
     private final LongSupplier clock;
-    private final LongSupplier arrivalClock;
     private final Timers timers;
     private final ConnectionTable table;
     private final HeldBytes held;
@@ -127,7 +126,6 @@
             NetSocket socket,
             RequestHandler handler,
             LongSupplier clock,
-            LongSupplier arrivalClock,
             Timers timers,
             ConnectionTable table,
             HeldBytes held,
@@ -138,7 +136,6 @@
         this.delays = delays;
         this.handler = handler;
         this.clock = clock;
-        this.arrivalClock = arrivalClock;
         this.timers = timers;
         this.table = table;
         this.held = held;
@@ -502,8 +499,8 @@
     private void onRequestComplete(OpenRequest request) {
         timers.cancel(request.timer);
         request.isComplete = true;
-        request.completedAtMicros = arrivalClock.getAsLong();
         long waitedMicros = arrivals.longestWaitNanos() / NANOS_PER_MICRO;
+        request.arrivedAtMicros = clock.getAsLong() - waitedMicros;
         delays.recordRead(toString(), waitedMicros);
         if (TRACING) {
             Log.info("request.read", "from", this, "record", request.id, "waited_ms", waitedMicros / MICROS_PER_MILLI);
@@ -538,7 +535,7 @@
                         handler.ready() ? Answer.served(Buffer.buffer("ok\n"), null) : Answer.refused(PUSHBACK_MS));
                 return;
             }
-            ClientRequest decoded = CgiRequest.decode(params, request.body, request.completedAtMicros);
+            ClientRequest decoded = CgiRequest.decode(params, request.body, request.arrivedAtMicros);
             Runnable onClientGone = handler.handle(decoded, answer -> answer(id, request, answer));
             request.onClientGone = onClientGone;
             // A request that is answered at once was invalid, unless the director drains. During a drain reading
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiServer.java
@@ -20,7 +20,6 @@
     private final Timers timers;
     private final RequestHandler handler;
     private final LongSupplier clock;
-    private final ArrivalClock arrivalClock;
     private final ConnectionTable table;
     private final HeldBytes held;
     private final ReadDelays delays = new ReadDelays();
@@ -32,7 +31,6 @@
         this.timers = Timers.of(vertx);
         this.handler = handler;
         this.clock = clock;
-        this.arrivalClock = new ArrivalClock(clock, timers);
         this.table = new ConnectionTable(maxConnections);
         this.held = held;
         server = vertx.createNetServer(
@@ -44,8 +42,7 @@
     private void accept(NetSocket socket) {
         socketCount++;
         if (table.admit(clock.getAsLong())) {
-            new FastCgiConnection(
-                    socket, handler, clock, arrivalClock, timers, table, held, delays, () -> socketCount--);
+            new FastCgiConnection(socket, handler, clock, timers, table, held, delays, () -> socketCount--);
         } else {
             socket.closeHandler(v -> socketCount--);
             socket.close();
@@ -73,7 +70,6 @@
 
     /** Stops listening and closes all connections. */
     public Future<Void> close() {
-        arrivalClock.stop();
         return server.close();
     }
 
--- a/src/test/java/pewtercourse/front/fastcgi/CgiRequestFieldsTest.java
+++ b/src/test/java/pewtercourse/front/fastcgi/CgiRequestFieldsTest.java
@@ -39,7 +39,7 @@
             "HTTP_X_NEED_KB", Map.entry("412.5", "sizeKb"),
             "HTTP_X_KNOWN", Map.entry("4be0c1927d55a6f3", "knownTag"));
 
-    private static final Set<String> NOT_PARAMETERS = Set.of("body", "receivedAtMicros");
+    private static final Set<String> NOT_PARAMETERS = Set.of("body", "arrivedAtMicros");
 
     private static Map<String, Object> decode(Map<String, String> params) throws Exception {
         ClientRequest request = CgiRequest.decode(params, Buffer.buffer("two couscous"), 7);
--- a/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
+++ b/src/test/java/pewtercourse/front/fastcgi/FastCgiModelTest.java
@@ -139,7 +139,6 @@
                         return () -> clientGoneCount++;
                     },
                     () -> nowMicros,
-                    () -> nowMicros,
                     new Timers() {
                         @Override
                         public long set(long delayMs, Runnable callback) {
