Read what the client has sent just before the first byte of each attempt

Callers saw: attempts up to 0.6 s after their clients had left by ABORT_REQUEST or a close. Cause: the leave had arrived, but the event loop had not read it when a timer, a result or a batch of the router ordered the attempt; the check before the first byte asked only what had been read. Timers.afterReads was used on one way (new connections) and runs within the same turn when a timer calls it. Class: what is known is taken for what has happened.

Attempt.writeRequest is the one place at which every attempt is written: first, retry, hedged, idle or new connection, to a parent, by another zone's router. Its precondition now reads the client's socket and those of the request's other attempts (SocketInput.readArrived), then checks; the remaining time is taken after that. An idle connection is read too before it is used, so one that the cache has closed is no longer written to. Handlers get a ClientExchange in place of a Consumer<Answer>.

--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -4,7 +4,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.SocketAddress;
 import java.util.Optional;
-import java.util.function.Consumer;
 import pewtercourse.admin.AdminServer;
 import pewtercourse.admin.ClusterCalls;
 import pewtercourse.admin.Operations;
@@ -14,6 +13,7 @@
 import pewtercourse.director.Metrics;
 import pewtercourse.failover.Sites;
 import pewtercourse.front.Answer;
+import pewtercourse.front.ClientExchange;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.Drain;
 import pewtercourse.front.FrontTransport;
@@ -186,11 +186,11 @@
     /** Refuses the requests that a drain rejects and passes the others on. */
     private final class DrainFilter implements RequestHandler {
         @Override
-        public Runnable handle(ClientRequest request, Consumer<Answer> answer) {
+        public Runnable handle(ClientRequest request, ClientExchange client) {
             if (refusesRequests()) {
-                return drainRefusal.handle(request, answer);
+                return drainRefusal.handle(request, client);
             }
-            return warmup.handle(request, answer);
+            return warmup.handle(request, client);
         }
 
         @Override
--- a/src/main/java/pewtercourse/Warmup.java
+++ b/src/main/java/pewtercourse/Warmup.java
@@ -12,11 +12,11 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Consumer;
 import pewtercourse.cache.CannedTransport;
 import pewtercourse.config.DirectorConfig;
 import pewtercourse.director.Director;
 import pewtercourse.front.Answer;
+import pewtercourse.front.ClientExchange;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.RequestHandler;
 import pewtercourse.front.fastcgi.FastCgiClient;
@@ -154,18 +154,18 @@
     }
 
     @Override
-    public Runnable handle(ClientRequest request, Consumer<Answer> answer) {
+    public Runnable handle(ClientRequest request, ClientExchange client) {
         // The warm-up's own requests never reach the service, not even late ones, as no client sent them. A client's
         // request never gets an answer that no cache made.
         if (ownRequestIds.contains(request.id())) {
             // After the warm-up its director has stopped, and would leave the request open until the deadline.
-            return ready ? REFUSING.handle(request, answer) : director.handle(request, answer);
+            return ready ? REFUSING.handle(request, client) : director.handle(request, client);
         }
         if (!ready) {
             onFleetServing();
-            return refusing.handle(request, answer);
+            return refusing.handle(request, client);
         }
-        return service.handle(request, answer);
+        return service.handle(request, client);
     }
 
     @Override
--- a/src/main/java/pewtercourse/backlog/BacklogClients.java
+++ b/src/main/java/pewtercourse/backlog/BacklogClients.java
@@ -17,6 +17,9 @@
 final class BacklogClients {
     private static final long MICROS_PER_MILLI = 1_000;
     private static final int MAX_CONNECTIONS = 300;
+    /** A director that is behind still holds a connection that its client has closed. */
+    private static final long CLOSED_CONNECTION_HELD_MS = 2_000;
+
     private static final int OBJECTS = 200;
 
     private final Vertx vertx;
@@ -126,7 +129,7 @@
         if (plan.leaving().way() == BacklogPlan.Way.ABORT) {
             connection.abort();
         } else {
-            connections--;
+            vertx.setTimer(CLOSED_CONNECTION_HELD_MS, timer -> connections--);
             connection.close();
         }
         oracle.clientLeft(id, clock.getAsLong());
--- a/src/main/java/pewtercourse/cache/Attempt.java
+++ b/src/main/java/pewtercourse/cache/Attempt.java
@@ -39,8 +39,8 @@
      * @param cacheId      number of the cache
      * @param deadline     clock time at which the attempt times out
      * @param precondition whether the request may still be sent; evaluated just before its first byte is
-     *     written, since the control feed may have removed an endpoint or purged the object while the
-     *     connection was established
+     *     written, since the client may have left and the control feed may have removed an endpoint or purged the object
+     *     while the connection was established; it may cancel this attempt
      * @param onFinished   receives the result, once
      */
     public Attempt(
@@ -101,11 +101,13 @@
     }
 
     private void writeRequest() {
+        boolean maySend = precondition.getAsBoolean();
+        if (finished) {
+            return;
+        }
         long remainingMicros = deadline - clock.getAsLong();
         boolean cacheReplaced = pool.generation(cacheId) != generation;
-        if (remainingMicros <= 0 || cacheReplaced || !precondition.getAsBoolean()) {
-            pool.keepIdle(cacheId, generation, connection);
-            connection = null;
+        if (remainingMicros <= 0 || cacheReplaced || !maySend) {
             finish(CacheResponse.of(AttemptResult.OVERTAKEN));
             return;
         }
@@ -124,6 +126,13 @@
                         finish(exchanged.succeeded() ? exchanged.result() : CacheResponse.of(AttemptResult.RESET)));
     }
 
+    /** Reads what the cache has sent until now; the attempt finishes if that completes the response. */
+    public void readArrived() {
+        if (!finished && requestWritten) {
+            connection.readArrived();
+        }
+    }
+
     /** Cancels the attempt, if it has not finished; its result is reported like any other. */
     public void cancel() {
         finish(CacheResponse.of(requestWritten ? AttemptResult.CANCELLED : AttemptResult.CANCELLED_UNSENT));
@@ -136,11 +145,19 @@
         finished = true;
         timers.cancel(timer);
         if (connection != null) {
-            switch (response.result()) {
-                case SERVED, NOT_MODIFIED, MISS, FULL, EXPIRED, ERROR -> pool.release(cacheId, generation, connection);
-                default -> connection.close();
-            }
+            releaseConnection(response.result());
         }
         onFinished.accept(response);
     }
+
+    private void releaseConnection(AttemptResult result) {
+        if (!requestWritten) {
+            pool.keepIdle(cacheId, generation, connection);
+            return;
+        }
+        switch (result) {
+            case SERVED, NOT_MODIFIED, MISS, FULL, EXPIRED, ERROR -> pool.release(cacheId, generation, connection);
+            default -> connection.close();
+        }
+    }
 }
--- a/src/main/java/pewtercourse/cache/CacheConnection.java
+++ b/src/main/java/pewtercourse/cache/CacheConnection.java
@@ -7,6 +7,12 @@
     /** Writes the request; fails if the connection ends before the response is complete. */
     Future<CacheResponse> exchange(CacheRequest request, long timeoutMs);
 
+    /**
+     * Reads what the cache has sent until now, and handles it before this returns. Must not be called while responses are
+     * read.
+     */
+    default void readArrived() {}
+
     /** Whether the connection may carry another request. */
     boolean isOpen();
 
--- a/src/main/java/pewtercourse/cache/ConnectionPool.java
+++ b/src/main/java/pewtercourse/cache/ConnectionPool.java
@@ -54,6 +54,7 @@
         Deque<IdleConnection> idle = idleByCache.get(cacheId);
         while (idle != null && !idle.isEmpty()) {
             IdleConnection last = idle.pollLast();
+            last.connection.readArrived();
             if (last.connection.isOpen() && clock.getAsLong() - last.idleSince < maxIdleMicros) {
                 return last.connection;
             }
--- a/src/main/java/pewtercourse/cache/HttpTransport.java
+++ b/src/main/java/pewtercourse/cache/HttpTransport.java
@@ -10,6 +10,7 @@
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.net.InetSocketAddress;
+import pewtercourse.eventloop.SocketInput;
 import pewtercourse.memory.ReadControl;
 import pewtercourse.memory.SocketReads;
 
@@ -48,6 +49,7 @@
         private Promise<CacheResponse> response;
         private boolean open = true;
         private boolean reserved;
+        private boolean paused;
         private Runnable onClose = () -> {};
 
         Connection(NetSocket socket, String host) {
@@ -57,15 +59,27 @@
             socket.handler(this::read);
             socket.exceptionHandler(Connection::rethrowError);
             socket.closeHandler(v -> {
-                open = false;
                 onClose.run();
-                if (response != null) {
-                    response.tryFail("closed");
-                }
-                endResponse();
+                onEnded();
             });
         }
 
+        private void onEnded() {
+            open = false;
+            if (response != null) {
+                response.tryFail("closed");
+            }
+            endResponse();
+        }
+
+        // The library reports the end of a connection later only, as a task of the event loop.
+        @Override
+        public void readArrived() {
+            if (open && !paused && !SocketInput.readArrived(socket)) {
+                onEnded();
+            }
+        }
+
         // A broken connection ends by its close handler. An Error concerns the whole process.
         private static void rethrowError(Throwable e) {
             if (e instanceof Error error) {
@@ -101,11 +115,13 @@
 
         @Override
         public void pause() {
+            paused = true;
             SocketReads.pause(socket);
         }
 
         @Override
         public void resume() {
+            paused = false;
             SocketReads.resume(socket);
         }
 
--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -61,6 +61,7 @@
 import pewtercourse.failover.SiteObserver;
 import pewtercourse.failover.Sites;
 import pewtercourse.front.Answer;
+import pewtercourse.front.ClientExchange;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.ReadDelays;
 import pewtercourse.front.RequestHandler;
@@ -405,7 +406,7 @@
     }
 
     @Override
-    public Runnable handle(ClientRequest clientRequest, Consumer<Answer> answer) {
+    public Runnable handle(ClientRequest clientRequest, ClientExchange client) {
         Integer classIndex = siteSettings.classes().get(clientRequest.className());
         // Checked before the ProxiedRequest is created: a rejected request must not leave a timer, which would
         // end the open request of the same id.
@@ -418,27 +419,27 @@
                     clientRequest.id(),
                     "class",
                     classIndex == null ? "unknown" : clientRequest.className());
-            answer.accept(Answer.failed());
+            client.accept(Answer.failed());
             return () -> {};
         }
         if (!readControl.admitsRequests()) {
-            rejectForMemory(answer);
+            rejectForMemory(client);
             return () -> {};
         }
-        ProxiedRequest request = new ProxiedRequest(this, clientRequest, classIndex, answer);
+        ProxiedRequest request = new ProxiedRequest(this, clientRequest, classIndex, client);
         requests.put(request.id, request);
         request.route();
         return request::onClientDisconnected;
     }
 
     // Nothing of the request was sent, and what is held may last until its deadline.
-    private void rejectForMemory(Consumer<Answer> answer) {
+    private void rejectForMemory(ClientExchange client) {
         held.recordRejection(MemoryStage.RECEIVING);
         Log.counted("memory.rejected", "stage", MemoryStage.RECEIVING, "held", held.responseBytes());
         long maxRetryAfterMs = siteSettings.router().retry().maxRetryAfter() / 1_000;
         Answer refusal = Answer.refused(Math.min(MEMORY_RETRY_AFTER_MS, maxRetryAfterMs));
         // The front takes a request that is answered at once for an invalid one, and reads its client more slowly.
-        timers.afterReads(() -> answer.accept(refusal));
+        timers.afterReads(() -> client.accept(refusal));
     }
 
     /** Answers all open requests as failed, at once. */
--- a/src/main/java/pewtercourse/director/Metrics.java
+++ b/src/main/java/pewtercourse/director/Metrics.java
@@ -4,11 +4,11 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import pewtercourse.decision.GiveUpReason;
 import pewtercourse.decision.SlowStartStatus;
 import pewtercourse.front.Answer;
+import pewtercourse.front.ClientExchange;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.ReadDelays;
 import pewtercourse.front.RequestHandler;
@@ -71,16 +71,13 @@
     public RequestHandler countRequests(RequestHandler handler, Predicate<String> isKnownClass) {
         return new RequestHandler() {
             @Override
-            public Runnable handle(ClientRequest request, Consumer<Answer> answer) {
+            public Runnable handle(ClientRequest request, ClientExchange client) {
                 if (!isKnownClass.test(request.className())) {
-                    return handler.handle(request, answer);
+                    return handler.handle(request, client);
                 }
                 registerClasses(List.of(request.className()));
                 CountedRequest counted = new CountedRequest(countersByClass.get(request.className()));
-                Runnable onDisconnect = handler.handle(request, finalAnswer -> {
-                    counted.finish(finalAnswer.kind());
-                    answer.accept(finalAnswer);
-                });
+                Runnable onDisconnect = handler.handle(request, counted.countAnswer(client));
                 return () -> {
                     counted.finish(Answer.Kind.FAILED); // The client disconnected before it was answered.
                     onDisconnect.run();
@@ -103,6 +100,21 @@
             openRequests++;
         }
 
+        ClientExchange countAnswer(ClientExchange client) {
+            return new ClientExchange() {
+                @Override
+                public void accept(Answer answer) {
+                    finish(answer.kind());
+                    client.accept(answer);
+                }
+
+                @Override
+                public void readArrived() {
+                    client.readArrived();
+                }
+            };
+        }
+
         boolean close() {
             boolean first = !finished;
             openRequests -= first ? 1 : 0;
--- a/src/main/java/pewtercourse/director/ProxiedRequest.java
+++ b/src/main/java/pewtercourse/director/ProxiedRequest.java
@@ -3,7 +3,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import pewtercourse.Log;
 import pewtercourse.Timers;
 import pewtercourse.cache.Attempt;
@@ -19,6 +18,7 @@
 import pewtercourse.discovery.WatchedEndpoint;
 import pewtercourse.failover.OverflowDecision;
 import pewtercourse.front.Answer;
+import pewtercourse.front.ClientExchange;
 import pewtercourse.front.ClientRequest;
 
 /**
@@ -43,7 +43,7 @@
     private final int classIndex;
     private final long deadline;
     private final long backstopTimer;
-    private final Consumer<Answer> answer;
+    private final ClientExchange client;
     private RouterEventQueue queue; // Of the router that handles the request.
     private RequestArrived arrival;
     private final Map<Integer, RunningAttempt> running = new LinkedHashMap<>(); // By number.
@@ -65,13 +65,13 @@
         }
     }
 
-    ProxiedRequest(Director director, ClientRequest request, int classIndex, Consumer<Answer> answer) {
+    ProxiedRequest(Director director, ClientRequest request, int classIndex, ClientExchange client) {
         this.director = director;
         this.id = parseId(request);
         this.request = request;
         this.classIndex = classIndex;
         this.deadline = deadlineOf(request);
-        this.answer = answer;
+        this.client = client;
         this.queue = director.localRouterQueue();
         this.backstopTimer = director.timers.set(
                 Timers.millis(deadline + BACKSTOP_DELAY_MICROS - director.clock.getAsLong()), this::failUnanswered);
@@ -163,10 +163,13 @@
         return queue.isRemoteZone() ? Math.min(1, send.retentionRank()) : send.retentionRank();
     }
 
-    // The client may have disconnected, and the control feed may have changed an endpoint or purged the object,
-    // while the connection was established.
+    // The client may have disconnected, another attempt may have been answered, and the control feed may have changed
+    // an
+    // endpoint or purged the object, while the connection was established or the event loop was behind.
     private boolean maySend(RunningAttempt waiting) {
         SendAttempt send = waiting.send;
+        client.readArrived();
+        List.copyOf(running.values()).forEach(other -> other.attempt.readArrived());
         return !closed
                 && !waiting.purged
                 && director.registry.isReady(send.endpointId())
@@ -342,7 +345,7 @@
                         (director.clock.getAsLong() - request.arrivedAtMicros()) / 1000);
             }
             director.recordAnswered(this);
-            answer.accept(finalAnswer);
+            client.accept(finalAnswer);
         }
     }
 
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -14,6 +14,7 @@
 import pewtercourse.eventloop.ArrivalTracker;
 import pewtercourse.eventloop.SocketInput;
 import pewtercourse.front.Answer;
+import pewtercourse.front.ClientExchange;
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.Drain;
 import pewtercourse.front.ReadDelays;
@@ -118,6 +119,7 @@
     private boolean closed;
     private boolean closing;
     private boolean closeWhenWritten;
+    private boolean reading;
     private boolean readingPaused;
     private boolean hadRequest;
     private boolean strayRecordSeen;
@@ -311,10 +313,36 @@
         }
     }
 
+    private final class OpenExchange implements ClientExchange {
+        private final OpenRequest request;
+
+        OpenExchange(OpenRequest request) {
+            this.request = request;
+        }
+
+        @Override
+        public void accept(Answer answer) {
+            answer(request.id, request, answer);
+        }
+
+        @Override
+        public void readArrived() {
+            FastCgiConnection.this.readArrived();
+        }
+    }
+
+    // The library reports the end of a connection later only, as a task of the event loop.
+    private void readArrived() {
+        if (!closed && !reading && !SocketInput.readArrived(socket)) {
+            onClosed();
+        }
+    }
+
     private void read(Buffer bytes) {
         if (closing) {
             return;
         }
+        reading = true;
         arrivals.beginReads();
         try {
             reader.add(bytes);
@@ -335,6 +363,8 @@
         } catch (RuntimeException e) {
             Log.error("front.unexpected", e);
             close();
+        } finally {
+            reading = false;
         }
     }
 
@@ -536,7 +566,7 @@
                 return;
             }
             ClientRequest decoded = CgiRequest.decode(params, request.body, request.arrivedAtMicros);
-            Runnable onClientGone = handler.handle(decoded, answer -> answer(id, request, answer));
+            Runnable onClientGone = handler.handle(decoded, new OpenExchange(request));
             request.onClientGone = onClientGone;
             // A request that is answered at once was invalid, unless the director drains. During a drain reading
             // goes on: requests that a client sends while it is not read would be lost with the connection.
