Read a cache's answer before a timer or the router gives up its attempt

Cause: the answer had arrived, but a timer or a cancellation ran before the event loop read it, so the attempt ended with TIMEOUT or CANCELLED and the router ordered another; the answer was dropped.

Attempt reads its connection before it concludes TIMEOUT or CANCELLED, and waits for a poll before CONNECT_TIMEOUT; ProxiedRequest reads the answers of its attempts before it fails a request. Timers.afterReads, called by a timer, now waits for a poll that begins later; until now it ran in the same turn, before any read.

--- a/src/main/java/pewtercourse/Timers.java
+++ b/src/main/java/pewtercourse/Timers.java
@@ -1,6 +1,8 @@
 package pewtercourse;
 
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import pewtercourse.eventloop.EventLoopTurns;
 
 /** Timers of an event loop; tests replace them. */
 public interface Timers {
@@ -9,7 +11,7 @@
 
     void cancel(long timerId);
 
-    /** Runs an action after the event loop has read the data that the sockets have ready. */
+    /** Runs an action after the event loop has read what the sockets have received until now. */
     default void afterReads(Runnable action) {
         action.run();
     }
@@ -33,7 +35,13 @@
 
             @Override
             public void afterReads(Runnable action) {
-                vertx.runOnContext(v -> action.run());
+                EventLoopTurns turns = EventLoopTurns.current();
+                if (turns == null || turns.isPolling()) {
+                    vertx.runOnContext(v -> action.run());
+                } else {
+                    Context context = vertx.getOrCreateContext();
+                    turns.afterNextPoll(() -> context.runOnContext(v -> action.run()));
+                }
             }
         };
     }
--- a/src/main/java/pewtercourse/cache/Attempt.java
+++ b/src/main/java/pewtercourse/cache/Attempt.java
@@ -82,12 +82,25 @@
         long remainingMicros = deadline - clock.getAsLong();
         timer = timers.set(
                 Timers.millis(Math.min(connectTimeoutMicros, remainingMicros)),
-                () -> finish(CacheResponse.of(AttemptResult.CONNECT_TIMEOUT)));
+                () -> timers.afterReads(this::onConnectTimeout));
         // After a long turn of the event loop the client's close may still be unread when the connection is
         // established: it is read first.
         connecting.onComplete(result -> timers.afterReads(() -> onConnected(result)));
     }
 
+    // The connection may have been established while the event loop was behind.
+    private void onConnectTimeout() {
+        if (connection == null) {
+            finish(CacheResponse.of(AttemptResult.CONNECT_TIMEOUT));
+        }
+    }
+
+    // The response may have arrived while the event loop was behind.
+    private void onTimeout() {
+        readArrived();
+        finish(CacheResponse.of(AttemptResult.TIMEOUT));
+    }
+
     private void onConnected(AsyncResult<CacheConnection> result) {
         if (result.failed()) {
             finish(CacheResponse.of(AttemptResult.REFUSED));
@@ -117,7 +130,7 @@
         }
         requestWritten = true;
         pool.recordRequestWritten();
-        timer = timers.set(Timers.millis(remainingMicros), () -> finish(CacheResponse.of(AttemptResult.TIMEOUT)));
+        timer = timers.set(Timers.millis(remainingMicros), this::onTimeout);
         // The request may have left: if the connection ends now, it may have run, on a new connection as on a
         // reused one.
         connection
@@ -133,8 +146,9 @@
         }
     }
 
-    /** Cancels the attempt, if it has not finished; its result is reported like any other. */
+    /** Cancels the attempt, if its response has not arrived; its result is reported like any other. */
     public void cancel() {
+        readArrived();
         finish(CacheResponse.of(requestWritten ? AttemptResult.CANCELLED : AttemptResult.CANCELLED_UNSENT));
     }
 
--- a/src/main/java/pewtercourse/director/ProxiedRequest.java
+++ b/src/main/java/pewtercourse/director/ProxiedRequest.java
@@ -169,13 +169,17 @@
     private boolean maySend(RunningAttempt waiting) {
         SendAttempt send = waiting.send;
         client.readArrived();
-        List.copyOf(running.values()).forEach(other -> other.attempt.readArrived());
+        readArrivedResponses();
         return !closed
                 && !waiting.purged
                 && director.registry.isReady(send.endpointId())
                 && (send.fillSourceId() == send.endpointId() || director.registry.isReady(send.fillSourceId()));
     }
 
+    private void readArrivedResponses() {
+        List.copyOf(running.values()).forEach(attempt -> attempt.attempt.readArrived());
+    }
+
     /** Records a purge; if it is of this object, an attempt that still waits for its connection is not sent. */
     void recordPurge(WatchEvent.Purge purge) {
         boolean purged =
@@ -269,8 +273,9 @@
         removeIfFinished();
     }
 
-    /** Answers the client that the request failed. */
+    /** Answers the client that the request failed, unless a response has arrived. */
     void fail() {
+        readArrivedResponses();
         answerClient(Answer.failed());
         removeIfFinished();
     }
@@ -301,6 +306,10 @@
     }
 
     private void failUnanswered() {
+        readArrivedResponses();
+        if (closed) {
+            return;
+        }
         Log.warn(
                 "request.unanswered",
                 "id",
--- a/src/test/java/pewtercourse/director/HedgedRequestTest.java
+++ b/src/test/java/pewtercourse/director/HedgedRequestTest.java
@@ -84,6 +84,17 @@
         assertEquals(0, onLoop(director::openRequests), "the first attempt was not cancelled");
     }
 
+    // The first attempt's answer has arrived and is not read when the router orders the hedged request.
+    @Test
+    void sendsNoHedgedRequestAfterAnUnreadAnswer() throws Exception {
+        onLoop(() -> caches.onReadArrived = () -> caches.exchanges.stream()
+                .limit(1)
+                .forEach(first -> first.tryComplete(CacheResponse.of(AttemptResult.NOT_MODIFIED))));
+        CompletableFuture<Answer> answer = requestWithParallelTries();
+        assertEquals(Answer.Kind.SAME, answer.get(30, TimeUnit.SECONDS).kind());
+        assertEquals(1, onLoop(caches.exchanges::size), "a hedged request after the answer");
+    }
+
     @Test
     void servesTheFirstAttemptWhereItAnswersBeforeTheHedgedOne() throws Exception {
         CompletableFuture<Answer> answer = requestWithParallelTries();
--- a/src/test/java/pewtercourse/director/ScriptedTransport.java
+++ b/src/test/java/pewtercourse/director/ScriptedTransport.java
@@ -16,6 +16,7 @@
     final List<CacheRequest> requests = new ArrayList<>();
     final List<Promise<Void>> connects = new ArrayList<>(); // Used if holdsConnects is set.
     boolean holdsConnects;
+    Runnable onReadArrived = () -> {};
 
     @Override
     public Future<CacheConnection> connect(InetSocketAddress address, long timeoutMs) {
@@ -37,6 +38,11 @@
                 return exchanges.get(exchanges.size() - 1).future();
             }
 
+            @Override
+            public void readArrived() {
+                onReadArrived.run();
+            }
+
             @Override
             public boolean isOpen() {
                 return open;
