Read what the feed has sent before it counts as silent

Operators would see discovery.disconnected why=silent after a delay of the event loop, though the feed had sent its comments: the timer ran before they were read. Same class: a timer decides on what has been read only. The silence timer now waits for a poll and concludes only if nothing was received.

Evidence: EndpointWatchTest.doesNotTakeAFeedWithUnreadEventsForSilent fails without the change (no open connection).

--- a/src/main/java/pewtercourse/discovery/EndpointWatch.java
+++ b/src/main/java/pewtercourse/discovery/EndpointWatch.java
@@ -97,6 +97,7 @@
         private WatchTransport.Connection connection;
         private long silenceTimer = NO_TIMER;
         private boolean closed;
+        private int receptions;
 
         void open() {
             restartSilenceTimer();
@@ -108,7 +109,14 @@
 
         private void restartSilenceTimer() {
             timers.cancel(silenceTimer);
-            silenceTimer = timers.set(SILENCE_TIMEOUT_MS, () -> disconnected("silent"));
+            int receivedBefore = receptions;
+            silenceTimer = timers.set(
+                    SILENCE_TIMEOUT_MS,
+                    () -> timers.afterReads(() -> {
+                        if (receptions == receivedBefore) {
+                            disconnected("silent");
+                        }
+                    }));
         }
 
         @Override
@@ -128,6 +136,7 @@
             if (closed) {
                 return;
             }
+            receptions++;
             restartSilenceTimer();
             try {
                 reader.read(bytes);
--- a/src/test/java/pewtercourse/discovery/EndpointWatchTest.java
+++ b/src/test/java/pewtercourse/discovery/EndpointWatchTest.java
@@ -150,4 +150,15 @@
 
         assertTrue(connection.closed);
     }
+
+    // The feed's bytes have arrived while the event loop was behind, and are unread when the silence timer fires.
+    @Example
+    void doesNotTakeAFeedWithUnreadEventsForSilent() {
+        WatchedFeed feed = new WatchedFeed();
+        feed.send(0, WatchedFeed.Sending.COMPLETE);
+        feed.onReadArrived = () -> feed.send(0, WatchedFeed.Sending.COMMENT);
+        feed.fireLastTimer();
+        assertEquals(1, feed.connections.size());
+        assertEquals(1, feed.openConnections());
+    }
 }
--- a/src/test/java/pewtercourse/discovery/WatchedFeed.java
+++ b/src/test/java/pewtercourse/discovery/WatchedFeed.java
@@ -59,8 +59,17 @@
         public void cancel(long timer) {
             timers.remove(timer);
         }
+
+        @Override
+        public void afterReads(Runnable action) {
+            onReadArrived.run();
+            action.run();
+        }
     }
 
+    /** Delivers what has arrived and is not read yet. */
+    Runnable onReadArrived = () -> {};
+
     final List<FeedConnection> connections = new ArrayList<>();
     /** The numbers of the events that the watch has handled. */
     final List<Long> handled = new ArrayList<>();
