Read what a client has sent before its connection is closed for being idle

Callers would see: a request that had arrived is lost, as a timer (idle, drain, a request or record that is not complete in time) or a new connection in a full table closed its connection before the event loop had read it. Same class: a timer decides on what has been read only.

Each of these now reads the connection first and goes on only if nothing came.

--- a/src/main/java/pewtercourse/front/fastcgi/ConnectionTable.java
+++ b/src/main/java/pewtercourse/front/fastcgi/ConnectionTable.java
@@ -43,15 +43,20 @@
 
     /** Makes room for a new connection; false if the table is full and no connection may be closed for it. */
     boolean admit(long nowMicros) {
-        if (connectionCount < maxConnections) {
-            return true;
-        }
-        FastCgiConnection evicted = selectConnectionToClose(nowMicros);
-        Log.counted("front.full", "connections", connectionCount, "ended", evicted == null ? "the newest" : evicted);
-        if (evicted != null) {
+        while (connectionCount >= maxConnections) {
+            FastCgiConnection evicted = selectConnectionToClose(nowMicros);
+            // The client of a connection that looks unused may have sent a request that is not read yet.
+            if (evicted != null && evicted.changesStateOnRead()) {
+                continue;
+            }
+            Log.counted(
+                    "front.full", "connections", connectionCount, "ended", evicted == null ? "the newest" : evicted);
+            if (evicted == null) {
+                return false;
+            }
             evicted.close();
         }
-        return evicted != null;
+        return true;
     }
 
     private FastCgiConnection selectConnectionToClose(long nowMicros) {
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -116,6 +116,7 @@
     private long penaltyMs;
     private long drainCutoffMicros;
     private int handedOverCount;
+    private long handledRecords;
     private boolean closed;
     private boolean closing;
     private boolean closeWhenWritten;
@@ -191,7 +192,7 @@
         strayRecordSeen = false;
         timers.cancel(idleTimer);
         switch (newState) {
-            case NEW -> idleTimer = timers.set(REQUEST_TIMEOUT_MS, this::close);
+            case NEW -> idleTimer = timers.set(REQUEST_TIMEOUT_MS, this::closeWithoutRequest);
             case IDLE -> startIdleTimer();
             case CLOSING -> idleTimer = timers.set(LINGER_TIMEOUT_MS, this::close);
             default -> {}
@@ -226,9 +227,36 @@
         };
     }
 
+    private void closeWithoutRequest() {
+        if (!handlesArrivedRecords()) {
+            close();
+        }
+    }
+
+    // The client may have sent a request while the event loop was behind: a timer must not close the connection over
+    // it.
+    private boolean handlesArrivedRecords() {
+        long recordsBefore = handledRecords;
+        readArrived();
+        return closed || handledRecords != recordsBefore;
+    }
+
+    /** Reads what has arrived; whether that changed the state of the connection, or ended it. */
+    boolean changesStateOnRead() {
+        ConnectionTable.State stateBefore = state;
+        readArrived();
+        return closed || state != stateBefore;
+    }
+
     // A drain interrupts neither a request that has partly arrived nor an answer that the client
     // is still reading.
     private void closeAfterIdle() {
+        if (handlesArrivedRecords()) {
+            if (!closed && state == ConnectionTable.State.IDLE) {
+                startIdleTimer();
+            }
+            return;
+        }
         boolean inUse = !openRequests.isEmpty() || reader.pending() > 0 || !output.isEmpty() || penaltyTimer >= 0;
         if (!inUse) {
             closeGracefully();
@@ -305,11 +333,15 @@
             partialRecordTimer = -1;
         }
         if (partialRecordTimer < 0 && reader.pending() > 0) {
-            partialRecordTimer = timers.set(REQUEST_TIMEOUT_MS, () -> {
-                partialRecordTimer = -1;
-                reportMalformed("a record was not complete in time");
-                close();
-            });
+            partialRecordTimer = timers.set(REQUEST_TIMEOUT_MS, this::onPartialRecordTimeout);
+        }
+    }
+
+    private void onPartialRecordTimeout() {
+        partialRecordTimer = -1;
+        if (!handlesArrivedRecords()) {
+            reportMalformed("a record was not complete in time");
+            close();
         }
     }
 
@@ -379,6 +411,7 @@
     }
 
     private void handleRecord(Record record) throws MalformedRecordException {
+        handledRecords++;
         OpenRequest request = openRequests.get(record.id());
         if (request == null && record.type() != Record.BEGIN) {
             limitStrayRecords();
@@ -449,8 +482,14 @@
         long timeoutMs = hadRequest
                 ? REQUEST_TIMEOUT_MS
                 : Math.max(1, REQUEST_TIMEOUT_MS - (clock.getAsLong() - acceptedAtMicros) / 1000);
-        newRequest.timer =
-                timers.set(timeoutMs, () -> reject(record.id(), newRequest, "the request was not complete in time"));
+        newRequest.timer = timers.set(timeoutMs, () -> onRequestTimeout(newRequest));
+    }
+
+    private void onRequestTimeout(OpenRequest request) {
+        readArrived();
+        if (!request.isComplete) {
+            reject(request.id, request, "the request was not complete in time");
+        }
     }
 
     private void append(Record record, OpenRequest request, Buffer collected, int maxBytes) {
