Poll the sockets between two batches of the router's queue

Callers saw: a backlog that grew in turns without any stop. Cause: the event loop runs new tasks for up to a second before it reads again, and each batch of 256 events scheduled the next one as a task: a full queue was decided on as a whole while leaves, answers and drains waited in the sockets. The comment said otherwise. The next batch now waits for a poll (Timers.afterReads).

--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -1,6 +1,5 @@
 package pewtercourse.director;
 
-import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -103,7 +102,6 @@
     private final HeldBytes held;
     private final ReadControl readControl;
     private final Vertx vertx;
-    private final Context context;
     private final RouterEventQueue localRouterQueue;
     // By zone: for requests that the caches of other zones serve.
     private final Map<String, RouterEventQueue> remoteRouterQueues = new HashMap<>();
@@ -164,7 +162,6 @@
         this.held = held;
         this.readControl = readControl;
         this.vertx = vertx;
-        this.context = vertx.getOrCreateContext();
         this.config = config;
         this.siteSettings = config.site();
         this.timers = timers;
@@ -562,7 +559,7 @@
                 new RoutingEngine(settings, config.seed(), idempotencyKeys),
                 remoteZone,
                 clock,
-                queue -> context.runOnContext(v -> handleNextBatch(queue)),
+                queue -> timers.afterReads(() -> handleNextBatch(queue)),
                 this::removeRequest);
     }
 
--- a/src/main/java/pewtercourse/director/RouterEventQueue.java
+++ b/src/main/java/pewtercourse/director/RouterEventQueue.java
@@ -9,7 +9,7 @@
 
 /**
  * Queues the events for one router in order of arrival and passes them on in one batch for each turn of the
- * event loop. The local router chooses among the caches of this director's zone; a remote-zone router chooses
+ * event loop, so that the sockets are read between two batches. The local router chooses among the caches of this director's zone; a remote-zone router chooses
  * among the caches of another zone that serve some of this director's requests. Confined to the event loop;
  * times are microseconds.
  */
@@ -31,7 +31,7 @@
     /**
      * Creates an empty queue.
      *
-     * @param scheduler        calls {@link #handleNextBatch} in a later turn of the event loop
+     * @param scheduler        calls {@link #handleNextBatch} once the event loop has read its sockets
      * @param onRequestRemoved receives the finished requests that no event refers to any more
      */
     RouterEventQueue(
--- a/src/test/java/pewtercourse/eventloop/SocketInputTest.java
+++ b/src/test/java/pewtercourse/eventloop/SocketInputTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import pewtercourse.Timers;
 import pewtercourse.front.FrontTransport;
 import pewtercourse.front.LimitedListener;
 
@@ -111,6 +112,19 @@
         }));
     }
 
+    @Test
+    void anActionAfterReadsFindsWhatHasArrivedWhileATaskRan() throws Exception {
+        NetSocket socket = connect();
+        CompletableFuture<Integer> found = new CompletableFuture<>();
+        onLoop(socket, () -> {
+            Timers.of(vertx).afterReads(() -> found.complete(received.size()));
+            write("abort");
+            TimeUnit.MILLISECONDS.sleep(BLOCKED_MS);
+            return null;
+        });
+        assertEquals(1, found.get(30, TimeUnit.SECONDS));
+    }
+
     @Test
     void readsOnAfterAReadThatFoundNothing() throws Exception {
         NetSocket socket = connect();
