Warm up for 1.2 s at most also where the list of caches has changed

Callers saw: /alive said ready, load came at once, and for a second or two the director compiled while requests waited in its sockets until their time was over (the report's lines request.unanswered begin 0.8 to 1 s after second 0). Cause: only a director that starts with its fleet warmed up; where the list has changed it was ready at once. It now takes the limit that holds where other directors are seen at work, 1.2 s from the start.

The price is up to 1.2 s until ready.

--- a/src/main/java/pewtercourse/Warmup.java
+++ b/src/main/java/pewtercourse/Warmup.java
@@ -121,18 +121,15 @@
      * Runs the warm-up through the director's front. The result never fails and completes after at most 6 s, or 1.2 s if
      * the fleet already serves clients.
      *
-     * @param hasTime false if the director must be ready at once; nothing runs then
+     * @param startsWithFleet whether no director of the fleet serves clients yet, as far as is known
      */
-    Future<Void> run(SocketAddress front, boolean hasTime) {
-        return run(front, hasTime, maxDurationMs);
+    Future<Void> run(SocketAddress front, boolean startsWithFleet) {
+        return run(front, startsWithFleet, maxDurationMs);
     }
 
     /** Like {@link #run(SocketAddress, boolean)}, for at most {@code durationLimitMs}. */
-    Future<Void> run(SocketAddress front, boolean hasTime, long durationLimitMs) {
-        if (!hasTime) {
-            ready = true;
-            return Future.succeededFuture();
-        }
+    Future<Void> run(SocketAddress front, boolean startsWithFleet, long durationLimitMs) {
+        fleetServing |= !startsWithFleet;
         director.start();
         long timer = vertx.setTimer(durationLimitMs, id -> done.tryComplete());
         long servingFleetTimer = vertx.setTimer(maxDurationInServingFleetMs, id -> {
