--- a/src/main/java/pewtercourse/backlog/BacklogClients.java
+++ b/src/main/java/pewtercourse/backlog/BacklogClients.java
@@ -15,11 +15,16 @@
  * loop of their own; times are microseconds.
  */
 final class BacklogClients {
+    private record IdleConnection(FastCgiClient connection, long since) {}
+
     private static final long MICROS_PER_MILLI = 1_000;
     private static final int MAX_CONNECTIONS = 300;
     /** A director that is behind still holds a connection that its client has closed. */
     private static final long CLOSED_CONNECTION_HELD_MS = 2_000;
 
+    /** Clients close a connection that has been idle for this time. */
+    private static final long MAX_IDLE = 4_000_000;
+
     private static final int OBJECTS = 200;
 
     private final Vertx vertx;
@@ -28,7 +33,7 @@
     private final BacklogOracle oracle;
     private final LongSupplier clock;
     private final Random random;
-    private final ArrayDeque<FastCgiClient> idle = new ArrayDeque<>();
+    private final ArrayDeque<IdleConnection> idle = new ArrayDeque<>(); // The most recently used one first.
     private int connections;
     private int open;
     private int sent;
@@ -67,11 +72,7 @@
 
     private void sendNext() {
         open++;
-        FastCgiClient kept = idle.pollFirst();
-        while (kept != null && kept.isClosed()) {
-            connections--;
-            kept = idle.pollFirst();
-        }
+        FastCgiClient kept = pollIdle();
         if (kept != null) {
             send(kept);
         } else if (connections < MAX_CONNECTIONS) {
@@ -85,6 +86,25 @@
         }
     }
 
+    private FastCgiClient pollIdle() {
+        while (!idle.isEmpty() && clock.getAsLong() - idle.peekLast().since() > MAX_IDLE) {
+            idle.pollLast().connection().close();
+            connections--;
+        }
+        while (!idle.isEmpty()) {
+            FastCgiClient connection = idle.pollFirst().connection();
+            if (!connection.isClosed()) {
+                return connection;
+            }
+            connections--;
+        }
+        return null;
+    }
+
+    private void keepIdle(FastCgiClient connection) {
+        idle.addFirst(new IdleConnection(connection, clock.getAsLong()));
+    }
+
     private void send(FastCgiClient connection) {
         String id = String.format("%016x", random.nextLong());
         long deadline = plan.load().deadlineMs() * MICROS_PER_MILLI;
@@ -99,7 +119,7 @@
             open--;
             if (result.succeeded()) {
                 oracle.answered(id, clock.getAsLong(), statusOf(result.result()));
-                idle.addFirst(connection);
+                keepIdle(connection);
             } else {
                 connections--;
                 oracle.unanswered(id, clock.getAsLong(), result.cause().getMessage());
@@ -121,7 +141,7 @@
     // After an abort the connection is used again once the director has ended the request.
     private void onEndAfterLeave(FastCgiClient connection, boolean usable) {
         if (usable && plan.leaving().way() == BacklogPlan.Way.ABORT) {
-            idle.addFirst(connection);
+            keepIdle(connection);
         }
     }
 
--- a/src/main/java/pewtercourse/backlog/BacklogOracle.java
+++ b/src/main/java/pewtercourse/backlog/BacklogOracle.java
@@ -64,8 +64,9 @@
     /** The connection ended before the answer, or nothing came long after the deadline. */
     synchronized void unanswered(String id, long at, String reason) {
         unanswered++;
-        requests.get(id).leftAt = at;
-        violations.add("request " + id + " has no answer: " + reason);
+        Request request = requests.get(id);
+        request.leftAt = at;
+        violations.add("request " + id + " has no answer after " + (at - request.sentAt) / 1_000 + " ms: " + reason);
     }
 
     /**
