Reject requests early that were read too late to be served

Callers saw: while the event loop was behind, each late request was still decoded, routed, sent and then failed, so useful work fell with rising load. OverloadGuard refuses a request (503, harmless to repeat) before it is routed if its client's time is over, or if it has waited for over a quarter of that time while all requests of the last 0.1 to 0.2 s have: a standing backlog, not the burst after a single stall. Its bound is time in the queue, as in CoDel. overload.rejected in the log, overload.rejections among the figures.

A poll now waits 10 ms at most (20 before): what an idle loop waits counts as time in the socket.

--- a/src/main/java/pewtercourse/director/Director.java
+++ b/src/main/java/pewtercourse/director/Director.java
@@ -87,6 +87,10 @@
     // within a second.
     private static final long MEMORY_RETRY_AFTER_MS = 250;
 
+    // Retry delay for clients that are rejected because the event loop is behind: about as long as it takes to catch
+    // up.
+    private static final long OVERLOAD_RETRY_AFTER_MS = 250;
+
     // If a turn of the event loop starts later than this, expired requests are answered before all else.
     private static final long LATE_TURN_MICROS = 20_000;
 
@@ -101,6 +105,7 @@
     private DirectorConfig config;
     private final HeldBytes held;
     private final ReadControl readControl;
+    private final OverloadGuard overloadGuard = new OverloadGuard();
     private final Vertx vertx;
     private final RouterEventQueue localRouterQueue;
     // By zone: for requests that the caches of other zones serve.
@@ -362,7 +367,8 @@
                 slowStartsByName(),
                 held,
                 readControl,
-                delays);
+                delays,
+                overloadGuard.rejections());
     }
 
     private Map<String, SlowStartStatus> slowStartsByName() {
@@ -419,6 +425,11 @@
             client.accept(Answer.failed());
             return () -> {};
         }
+        if (!overloadGuard.admits(
+                clock.getAsLong(), clientRequest.arrivedAtMicros(), (long) (clientRequest.deadlineMs() * 1000))) {
+            rejectForOverload(clientRequest, client);
+            return () -> {};
+        }
         if (!readControl.admitsRequests()) {
             rejectForMemory(client);
             return () -> {};
@@ -433,8 +444,24 @@
     private void rejectForMemory(ClientExchange client) {
         held.recordRejection(MemoryStage.RECEIVING);
         Log.counted("memory.rejected", "stage", MemoryStage.RECEIVING, "held", held.responseBytes());
+        refuse(client, MEMORY_RETRY_AFTER_MS);
+    }
+
+    private void rejectForOverload(ClientRequest request, ClientExchange client) {
+        Log.counted(
+                "overload.rejected",
+                "id",
+                request.id(),
+                "class",
+                request.className(),
+                "waited_ms",
+                (clock.getAsLong() - request.arrivedAtMicros()) / 1_000);
+        refuse(client, OVERLOAD_RETRY_AFTER_MS);
+    }
+
+    private void refuse(ClientExchange client, long retryAfterMs) {
         long maxRetryAfterMs = siteSettings.router().retry().maxRetryAfter() / 1_000;
-        Answer refusal = Answer.refused(Math.min(MEMORY_RETRY_AFTER_MS, maxRetryAfterMs));
+        Answer refusal = Answer.refused(Math.min(retryAfterMs, maxRetryAfterMs));
         // The front takes a request that is answered at once for an invalid one, and reads its client more slowly.
         timers.afterReads(() -> client.accept(refusal));
     }
--- a/src/main/java/pewtercourse/director/Metrics.java
+++ b/src/main/java/pewtercourse/director/Metrics.java
@@ -35,6 +35,7 @@
      * @param held            the bytes held for clients and caches
      * @param readControl     the pauses of reading from caches
      * @param delays          how long requests may have waited before they were read
+     * @param overloadRejections number of requests rejected because they were read too late
      */
     public record GaugeValues(
             long requestsWritten,
@@ -46,7 +47,8 @@
             Map<String, SlowStartStatus> slowStarts,
             HeldBytes held,
             ReadControl readControl,
-            ReadDelays delays) {}
+            ReadDelays delays,
+            long overloadRejections) {}
 
     private static final long MICROS_PER_MILLI = 1_000;
 
@@ -167,6 +169,7 @@
         appendMemory(text, gauges.held(), gauges.readControl());
         appendLine(text, "read_delays.late", gauges.delays().lateReads());
         appendLine(text, "read_delays.longest_ms", gauges.delays().longestWaitMicros() / MICROS_PER_MILLI);
+        appendLine(text, "overload.rejections", gauges.overloadRejections());
         appendLine(text, "clients_left", gauges.delays().clientsLeft());
         return text.toString();
     }
--- a/src/main/java/pewtercourse/eventloop/TurnRecordingIoHandler.java
+++ b/src/main/java/pewtercourse/eventloop/TurnRecordingIoHandler.java
@@ -14,7 +14,7 @@
  */
 public final class TurnRecordingIoHandler implements IoHandler {
     /** The longest wait of a poll. */
-    static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
     private final IoHandler delegate;
     private final EventLoopTurns turns = new EventLoopTurns();
--- a/src/test/java/pewtercourse/director/MetricsModelTest.java
+++ b/src/test/java/pewtercourse/director/MetricsModelTest.java
@@ -101,7 +101,8 @@
                 Map.of("s-1", new SlowStartStatus(1, 0.5, 2_000, 9_000, 8_000, 6)),
                 held,
                 new ReadControl(held),
-                delays()));
+                delays(),
+                5));
         for (String className : List.of("menu-media", "menu-page")) {
             int served = received.getOrDefault(className + "SERVED", 0) + received.getOrDefault(className + "SAME", 0);
             assertTrue(text.contains("operations." + className + ".fulfilled=" + served + "\n"), text);
@@ -123,7 +124,7 @@
                         + "memory.answers.bytes=0\nmemory.answers.peak_bytes=0\nmemory.answers.rejections=0\n"
                         + "memory.request_limit_bytes=100\nmemory.response_limit_bytes=200\n"
                         + "memory.paused_reads=0\nmemory.pauses=0\n"
-                        + "read_delays.late=1\nread_delays.longest_ms=150\nclients_left=1\n"),
+                        + "read_delays.late=1\nread_delays.longest_ms=150\noverload.rejections=5\nclients_left=1\n"),
                 text);
     }
 
