--- a/src/main/java/pewtercourse/backlog/BacklogClients.java
+++ b/src/main/java/pewtercourse/backlog/BacklogClients.java
@@ -25,6 +25,9 @@
     /** Clients close a connection that has been idle for this time. */
     private static final long MAX_IDLE = 4_000_000;
 
+    /** A request that crosses the end of a kept connection within this time is sent again, once. */
+    private static final long CROSSING = 50_000;
+
     private static final int OBJECTS = 200;
 
     private final Vertx vertx;
@@ -73,17 +76,26 @@
     private void sendNext() {
         open++;
         FastCgiClient kept = pollIdle();
+        String id = String.format("%016x", random.nextLong());
         if (kept != null) {
-            send(kept);
-        } else if (connections < MAX_CONNECTIONS) {
-            connections++;
-            FastCgiClient.connect(vertx, director).onSuccess(this::send).onFailure(e -> {
-                connections--;
-                open--;
-            });
+            send(id, kept, true);
         } else {
+            connectAndSend(id);
+        }
+    }
+
+    private void connectAndSend(String id) {
+        if (connections >= MAX_CONNECTIONS) {
             open--;
+            return;
         }
+        connections++;
+        FastCgiClient.connect(vertx, director)
+                .onSuccess(connection -> send(id, connection, false))
+                .onFailure(e -> {
+                    connections--;
+                    open--;
+                });
     }
 
     private FastCgiClient pollIdle() {
@@ -105,17 +117,22 @@
         idle.addFirst(new IdleConnection(connection, clock.getAsLong()));
     }
 
-    private void send(FastCgiClient connection) {
-        String id = String.format("%016x", random.nextLong());
+    private void send(String id, FastCgiClient connection, boolean kept) {
+        long sentAt = clock.getAsLong();
         long deadline = plan.load().deadlineMs() * MICROS_PER_MILLI;
         boolean[] ended = new boolean[1];
-        oracle.requestSent(id, clock.getAsLong(), deadline);
+        oracle.requestSent(id, sentAt, deadline);
         connection.send(params(id)).onComplete(result -> {
             if (ended[0]) {
                 onEndAfterLeave(connection, result.succeeded());
                 return;
             }
             ended[0] = true;
+            if (result.failed() && kept && clock.getAsLong() - sentAt <= CROSSING) {
+                connections--;
+                connectAndSend(id);
+                return;
+            }
             open--;
             if (result.succeeded()) {
                 oracle.answered(id, clock.getAsLong(), statusOf(result.result()));
