Write a request right after the check of its client and its time

Callers saw: a cache got 0.3 s more than the client had left, and an attempt 0.25 s after the leave, when the process was stopped between the check and the write: the request was encoded in between. The request is now encoded first; the check (WriteCheck) is evaluated last, and only its answer, the time limit, is put into the bytes before the write. What remains is the time of one system call.

--- a/src/main/java/pewtercourse/cache/Attempt.java
+++ b/src/main/java/pewtercourse/cache/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.AsyncResult;
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -16,6 +17,7 @@
 public final class Attempt {
     // A connection that is established up to this long after the connect timeout is kept for a later attempt.
     private static final long LATE_CONNECT_GRACE_MS = 100;
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private final ConnectionPool pool;
     private final Timers timers;
@@ -113,30 +115,32 @@
         }
     }
 
+    // The request may have left once it is written: if the connection ends then, it may have run, on a new connection
+    // as
+    // on a reused one.
     private void writeRequest() {
-        boolean maySend = precondition.getAsBoolean();
+        var exchange = connection.exchange(request, this::checkBeforeWrite);
         if (finished) {
             return;
         }
+        pool.recordRequestWritten();
+        timer = timers.set(Timers.millis(deadline - clock.getAsLong()), this::onTimeout);
+        exchange.onComplete(exchanged ->
+                finish(exchanged.succeeded() ? exchanged.result() : CacheResponse.of(AttemptResult.RESET)));
+    }
+
+    private OptionalLong checkBeforeWrite() {
+        boolean maySend = precondition.getAsBoolean(); // May cancel this attempt.
+        if (!finished && !connection.isOpen()) {
+            finish(CacheResponse.of(AttemptResult.REFUSED));
+        }
         long remainingMicros = deadline - clock.getAsLong();
         boolean cacheReplaced = pool.generation(cacheId) != generation;
         if (remainingMicros <= 0 || cacheReplaced || !maySend) {
             finish(CacheResponse.of(AttemptResult.OVERTAKEN));
-            return;
-        }
-        if (!connection.isOpen()) {
-            finish(CacheResponse.of(AttemptResult.REFUSED)); // Nothing was written, so the request did not run.
-            return;
         }
-        requestWritten = true;
-        pool.recordRequestWritten();
-        timer = timers.set(Timers.millis(remainingMicros), this::onTimeout);
-        // The request may have left: if the connection ends now, it may have run, on a new connection as on a
-        // reused one.
-        connection
-                .exchange(request, Math.max(1, remainingMicros / 1000))
-                .onComplete(exchanged ->
-                        finish(exchanged.succeeded() ? exchanged.result() : CacheResponse.of(AttemptResult.RESET)));
+        requestWritten = !finished;
+        return finished ? OptionalLong.empty() : OptionalLong.of(Math.max(1, remainingMicros / MICROS_PER_MILLI));
     }
 
     /** Reads what the cache has sent until now; the attempt finishes if that completes the response. */
--- a/src/main/java/pewtercourse/cache/CacheConnection.java
+++ b/src/main/java/pewtercourse/cache/CacheConnection.java
@@ -4,8 +4,11 @@
 
 /** A connection to a cache, which carries one request at a time. */
 public interface CacheConnection {
-    /** Writes the request; fails if the connection ends before the response is complete. */
-    Future<CacheResponse> exchange(CacheRequest request, long timeoutMs);
+    /**
+     * Writes the request if the check, which is evaluated last, allows it. Fails if it does not, or if the connection ends
+     * before the response is complete.
+     */
+    Future<CacheResponse> exchange(CacheRequest request, WriteCheck check);
 
     /**
      * Reads what the cache has sent until now, and handles it before this returns. Must not be called while responses are
--- a/src/main/java/pewtercourse/cache/CacheRequest.java
+++ b/src/main/java/pewtercourse/cache/CacheRequest.java
@@ -56,13 +56,36 @@
         return encoded.toString();
     }
 
+    /** An encoded request without its time limit, which is known only when it is written. */
+    static final class Encoded {
+        private static final int MAX_NUMBER_LENGTH = 20;
+
+        private final Buffer beforeTimeout;
+        private final Buffer afterTimeout;
+
+        private Encoded(Buffer beforeTimeout, Buffer afterTimeout) {
+            this.beforeTimeout = beforeTimeout;
+            this.afterTimeout = afterTimeout;
+        }
+
+        /** The bytes of the request. */
+        Buffer withTimeout(long timeoutMs) {
+            return Buffer.buffer(beforeTimeout.length() + MAX_NUMBER_LENGTH + afterTimeout.length())
+                    .appendBuffer(beforeTimeout)
+                    .appendString(String.valueOf(timeoutMs))
+                    .appendBuffer(afterTimeout);
+        }
+    }
+
     /** Encodes the request as a GET, also with a body: caches answer 400 to any other method. */
-    Buffer encode(String host, long timeoutMs) {
+    Encoded encode(String host) {
         StringBuilder head =
                 new StringBuilder(256).append("GET ").append(path()).append(" HTTP/1.1\r\n");
         appendField(head, "Host", host);
         appendField(head, "Request-Id", id);
-        appendField(head, "Timeout-Ms", String.valueOf(timeoutMs));
+        Buffer beforeTimeout = Buffer.buffer(head.append("Timeout-Ms: ").toString());
+        head.setLength(0);
+        head.append("\r\n");
         appendField(head, "Once-Key", idempotencyKey);
         appendField(head, "X-Fill-From", fillSource);
         appendField(head, "X-Keep", retentionRank > 0 ? String.valueOf(retentionRank) : null);
@@ -70,7 +93,8 @@
         appendField(head, "X-Flags", flags().isEmpty() ? null : flags());
         appendField(head, "If-None-Match", knownTag);
         appendField(head, "Content-Length", body.length() > 0 ? String.valueOf(body.length()) : null);
-        return Buffer.buffer(head.append("\r\n").toString()).appendBuffer(body);
+        return new Encoded(
+                beforeTimeout, Buffer.buffer(head.append("\r\n").toString()).appendBuffer(body));
     }
 
     private static void appendField(StringBuilder head, String name, String value) {
--- a/src/main/java/pewtercourse/cache/CannedTransport.java
+++ b/src/main/java/pewtercourse/cache/CannedTransport.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 
 /**
  * Stands in for all caches without opening a socket: answers each request at once with the same bytes, which
@@ -31,11 +32,16 @@
         private boolean open = true;
 
         @Override
-        public Future<CacheResponse> exchange(CacheRequest request, long timeoutMs) {
+        public Future<CacheResponse> exchange(CacheRequest request, WriteCheck check) {
+            CacheRequest.Encoded encoded = request.encode("0.0.0.0:0");
+            OptionalLong timeoutMs = check.timeoutMs();
+            if (timeoutMs.isEmpty()) {
+                return Future.failedFuture("not written");
+            }
+            encoded.withTimeout(timeoutMs.getAsLong());
             Promise<CacheResponse> response = Promise.promise();
             ResponseReader reader = new ResponseReader();
             reader.expectResponseTo(request);
-            request.encode("0.0.0.0:0", timeoutMs);
             vertx.runOnContext(v -> response.complete(reader.read(RESPONSE)));
             return response.future();
         }
--- a/src/main/java/pewtercourse/cache/HttpTransport.java
+++ b/src/main/java/pewtercourse/cache/HttpTransport.java
@@ -10,6 +10,7 @@
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 import pewtercourse.eventloop.SocketInput;
 import pewtercourse.memory.ReadControl;
 import pewtercourse.memory.SocketReads;
@@ -126,15 +127,18 @@
         }
 
         @Override
-        public Future<CacheResponse> exchange(CacheRequest request, long timeoutMs) {
+        public Future<CacheResponse> exchange(CacheRequest request, WriteCheck check) {
+            CacheRequest.Encoded encoded = request.encode(host);
+            OptionalLong timeoutMs = check.timeoutMs();
+            if (timeoutMs.isEmpty() || !open) {
+                return Future.failedFuture("not written");
+            }
+            // Nothing stands between the check and the write that takes time.
+            Future<Void> written = socket.write(encoded.withTimeout(timeoutMs.getAsLong()));
             Promise<CacheResponse> exchange = Promise.promise();
             response = exchange;
-            if (open) {
-                reader.expectResponseTo(request);
-                socket.write(request.encode(host, timeoutMs)).onFailure(exchange::tryFail);
-            } else {
-                exchange.fail("closed");
-            }
+            reader.expectResponseTo(request);
+            written.onFailure(exchange::tryFail);
             return exchange.future();
         }
 
--- a/src/test/java/pewtercourse/cache/AttemptModelTest.java
+++ b/src/test/java/pewtercourse/cache/AttemptModelTest.java
@@ -51,7 +51,10 @@
         }
 
         @Override
-        public Future<CacheResponse> exchange(CacheRequest request, long timeoutMs) {
+        public Future<CacheResponse> exchange(CacheRequest request, WriteCheck check) {
+            if (check.timeoutMs().isEmpty()) {
+                return Future.failedFuture("not written");
+            }
             assertTrue(open, "written to a closed connection");
             assertTrue(response == null || response.future().isComplete(), "two requests at once");
             response = Promise.promise();
--- a/src/test/java/pewtercourse/cache/AttemptUnreadResponseTest.java
+++ b/src/test/java/pewtercourse/cache/AttemptUnreadResponseTest.java
@@ -33,7 +33,10 @@
 
     private final class Connection implements CacheConnection {
         @Override
-        public Future<CacheResponse> exchange(CacheRequest request, long timeoutMs) {
+        public Future<CacheResponse> exchange(CacheRequest request, WriteCheck check) {
+            if (check.timeoutMs().isEmpty()) {
+                return Future.failedFuture("not written");
+            }
             response = Promise.promise();
             return response.future();
         }
--- a/src/test/java/pewtercourse/cache/CacheRequestFieldsTest.java
+++ b/src/test/java/pewtercourse/cache/CacheRequestFieldsTest.java
@@ -32,7 +32,8 @@
                         flags[1],
                         flags[2],
                         tag)
-                .encode("127.0.0.1:9001", 900)
+                .encode("127.0.0.1:9001")
+                .withTimeout(900)
                 .toString();
     }
 
--- a/src/test/java/pewtercourse/cache/HttpTransportTest.java
+++ b/src/test/java/pewtercourse/cache/HttpTransportTest.java
@@ -11,6 +11,7 @@
 import io.vertx.core.net.NetServer;
 import java.lang.ref.WeakReference;
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -66,7 +67,7 @@
         CacheRequest request =
                 new CacheRequest("id", "c", "o", 0, null, Buffer.buffer(), null, 0, 0, false, false, false, null);
         WeakReference<CacheResponse> response =
-                new WeakReference<>(await(connection.exchange(request, LONG_TIMEOUT_MS)));
+                new WeakReference<>(await(connection.exchange(request, () -> OptionalLong.of(LONG_TIMEOUT_MS))));
         for (int i = 0; i < MAX_COLLECTIONS && response.get() != null; i++) {
             System.gc();
             TimeUnit.MILLISECONDS.sleep(50);
--- a/src/test/java/pewtercourse/director/ScriptedTransport.java
+++ b/src/test/java/pewtercourse/director/ScriptedTransport.java
@@ -9,6 +9,7 @@
 import pewtercourse.cache.CacheRequest;
 import pewtercourse.cache.CacheResponse;
 import pewtercourse.cache.Transport;
+import pewtercourse.cache.WriteCheck;
 
 /** Connections to caches whose establishment and responses a test completes. Used on the event loop. */
 final class ScriptedTransport implements Transport {
@@ -32,7 +33,10 @@
             private boolean open = true;
 
             @Override
-            public Future<CacheResponse> exchange(CacheRequest request, long timeoutMs) {
+            public Future<CacheResponse> exchange(CacheRequest request, WriteCheck check) {
+                if (check.timeoutMs().isEmpty()) {
+                    return Future.failedFuture("not written");
+                }
                 requests.add(request);
                 exchanges.add(Promise.promise());
                 return exchanges.get(exchanges.size() - 1).future();
