Keep the log of a director that ends while its descriptors are used up

MainTest.keepsAcceptingAfterMoreConnectionsThanDescriptors failed once with an ended process whose log the test had dropped; its assertion now shows the log. It asserts the same.

--- a/src/test/java/pewtercourse/MainTest.java
+++ b/src/test/java/pewtercourse/MainTest.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -145,7 +146,8 @@
 
     @Test
     void keepsAcceptingAfterMoreConnectionsThanDescriptors() throws Exception {
-        CompletableFuture.runAsync(() -> log.lines().forEach(line -> {})); // A full pipe would block the process.
+        List<String> lines = new CopyOnWriteArrayList<>();
+        CompletableFuture.runAsync(() -> log.lines().forEach(lines::add)); // A full pipe would block the process.
         String[] hostAndPort = config.getString("listen").split(":");
         List<Socket> open = new ArrayList<>();
         for (int round = 0; round < 5; round++) {
@@ -180,7 +182,9 @@
             }
         }
         vertx.close();
-        assertTrue(answer.startsWith("Status: 200"), "no longer accepts connections");
+        assertTrue(
+                answer.startsWith("Status: 200"),
+                process.isAlive() ? "no longer accepts connections" : "ended:\n" + String.join("\n", lines));
     }
 
     @Test
