Play starved directors, short deadlines and clients that leave at them in the soak

Now a quarter of the requests have deadlines of 0.3 to 0.6 s, half of the clients leave at their deadline, by ABORT_REQUEST or by closing; the fault STARVED stops a director for 20 to 60 ms after each 20 ms; an attempt over 0.1 s after the leave or the deadline breaks the term, also after a stop.

SoakOracleTest: a test for each change.

--- a/src/main/java/pewtercourse/soak/DirectorInstance.java
+++ b/src/main/java/pewtercourse/soak/DirectorInstance.java
@@ -123,6 +123,25 @@
         }
     }
 
+    /** Stops the process for a time, again and again, with a time to run between. Blocks until the last stop has ended. */
+    void stopRepeatedly(int times, int stopMs, int runMs) {
+        String loop = String.format(
+                java.util.Locale.ROOT,
+                "for i in $(seq %d); do kill -STOP $0; sleep %s; kill -CONT $0; sleep %s; done 2>/dev/null",
+                times,
+                stopMs / 1e3,
+                runMs / 1e3);
+        try {
+            new ProcessBuilder("sh", "-c", loop, String.valueOf(process.pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** The most memory that the process has used, in MB; 0 if it has ended. */
     double peakMemoryMb() {
         try {
--- a/src/main/java/pewtercourse/soak/Fault.java
+++ b/src/main/java/pewtercourse/soak/Fault.java
@@ -51,6 +51,8 @@
         RELOAD,
         /** SIGSTOP, then SIGCONT. */
         PAUSE,
+        /** Many short stops in a row, which leave the director little processor time; {@code amount} is their length. */
+        STARVED,
         /** The director's wall clock is stepped. */
         CLOCK_STEP,
         /** Accepting connections fails. */
--- a/src/main/java/pewtercourse/soak/FaultPlan.java
+++ b/src/main/java/pewtercourse/soak/FaultPlan.java
@@ -64,6 +64,7 @@
             case CLIENTS_LEAVE -> fault(atMs, kind, director, cache, 500 + random.nextInt(2_000), 0);
             case CROWD -> fault(atMs, kind, director, cache, 1_000 + random.nextInt(3_000), 50 + random.nextInt(150));
             case PAUSE -> fault(atMs, kind, director, cache, 50 + random.nextInt(700), 0);
+            case STARVED -> fault(atMs, kind, director, cache, 500 + random.nextInt(2_000), 20 + random.nextInt(40));
             case CLOCK_STEP ->
                 fault(atMs, kind, director, cache, 0, CLOCK_STEPS_SECONDS[random.nextInt(CLOCK_STEPS_SECONDS.length)]);
             case ACCEPT_FAILS, CONNECT_FAILS -> fault(atMs, kind, director, cache, 0, 1 + random.nextInt(20));
--- a/src/main/java/pewtercourse/soak/SoakClients.java
+++ b/src/main/java/pewtercourse/soak/SoakClients.java
@@ -29,6 +29,10 @@
     private static final long KILL_EXCUSES = 700_000;
 
     private static final long MAX_IDLE = 4_000_000;
+    /** Short deadlines are drawn from this time to twice as much. */
+    private static final int MIN_DEADLINE_MS = 300;
+
+    private static final double SHARE_OF_SHORT_DEADLINES = 0.25;
     private static final long MICROS_PER_MILLI = 1_000;
 
     private record IdleConnection(FastCgiClient connection, long since) {}
@@ -37,14 +41,17 @@
     private static final class Exchange {
         final Catalogue.DrawnRequest request;
         final String id;
+        final long deadlineMs;
         long sentAt;
         boolean resent;
         boolean ended;
+        boolean aborted;
         long timeoutTimer;
 
-        Exchange(Catalogue.DrawnRequest request, String id) {
+        Exchange(Catalogue.DrawnRequest request, String id, long deadlineMs) {
             this.request = request;
             this.id = id;
+            this.deadlineMs = deadlineMs;
         }
     }
 
@@ -142,7 +149,7 @@
         if (!request.requestClass().uncacheable() && recentObjects.size() < 64) {
             recentObjects.add(request.object());
         }
-        Exchange exchange = new Exchange(request, String.format("%016x", random.nextLong()));
+        Exchange exchange = new Exchange(request, String.format("%016x", random.nextLong()), drawDeadlineMs(request));
         IdleConnection kept = pollIdle();
         if (kept != null) {
             send(exchange, kept.connection(), true);
@@ -151,6 +158,12 @@
         }
     }
 
+    private long drawDeadlineMs(Catalogue.DrawnRequest request) {
+        return random.nextDouble() < SHARE_OF_SHORT_DEADLINES
+                ? MIN_DEADLINE_MS + random.nextInt(MIN_DEADLINE_MS)
+                : (long) request.requestClass().deadlineMs();
+    }
+
     private IdleConnection pollIdle() {
         while (!idle.isEmpty() && clock.getAsLong() - idle.peekLast().since() > MAX_IDLE) {
             idle.pollLast().connection().close();
@@ -175,8 +188,7 @@
     }
 
     private void send(Exchange exchange, FastCgiClient connection, boolean kept) {
-        Catalogue.RequestClass requestClass = exchange.request.requestClass();
-        long deadline = (long) (requestClass.deadlineMs() * MICROS_PER_MILLI);
+        long deadline = exchange.deadlineMs * MICROS_PER_MILLI;
         exchange.sentAt = clock.getAsLong();
         open++;
         oracle.requestSent(exchange.id, director.number, exchange.sentAt, deadline, exchange.request.object());
@@ -184,6 +196,7 @@
         exchange.timeoutTimer = vertx.setTimer(patienceMs, timer -> end(exchange, connection, "no answer in time"));
         connection.send(params(exchange)).onComplete(result -> {
             if (exchange.ended) {
+                onEndAfterLeave(exchange, connection, result.succeeded());
                 return;
             }
             if (result.failed()) {
@@ -197,6 +210,20 @@
         });
         if (clock.getAsLong() < leaveUntil && random.nextInt(2) == 0) {
             vertx.setTimer(1 + random.nextInt(250), timer -> leave(exchange, connection));
+        } else if (random.nextInt(2) == 0) {
+            vertx.setTimer(exchange.deadlineMs, timer -> leave(exchange, connection));
+        }
+    }
+
+    // After an abort the connection is used again once the director has ended the request.
+    private void onEndAfterLeave(Exchange exchange, FastCgiClient connection, boolean usable) {
+        if (!exchange.aborted) {
+            return;
+        }
+        if (usable) {
+            idle.addFirst(new IdleConnection(connection, clock.getAsLong()));
+        } else {
+            connections--;
         }
     }
 
@@ -209,8 +236,13 @@
             finish(exchange);
             oracle.count("clients that left");
             oracle.clientLeft(exchange.id, clock.getAsLong());
-            connections--;
-            connection.close();
+            exchange.aborted = random.nextBoolean();
+            if (exchange.aborted) {
+                connection.abort();
+            } else {
+                connections--;
+                connection.close();
+            }
         }
     }
 
@@ -239,7 +271,7 @@
             connections--;
             oracle.excused(exchange.id);
             oracle.count("requests sent again");
-            Exchange again = new Exchange(exchange.request, exchange.id);
+            Exchange again = new Exchange(exchange.request, exchange.id, exchange.deadlineMs);
             again.resent = true;
             connectAndSend(again);
         } else {
@@ -256,8 +288,7 @@
         params.put("HTTP_X_TAG", "17");
         params.put("HTTP_X_CHUNK", "0");
         params.put("HTTP_X_NEED_KB", String.valueOf(exchange.request.sizeKb()));
-        params.put("HTTP_X_DEADLINE_MS", String.valueOf((long)
-                exchange.request.requestClass().deadlineMs()));
+        params.put("HTTP_X_DEADLINE_MS", String.valueOf(exchange.deadlineMs));
         return params;
     }
 
--- a/src/main/java/pewtercourse/soak/SoakOracle.java
+++ b/src/main/java/pewtercourse/soak/SoakOracle.java
@@ -20,7 +20,7 @@
     public enum Term {
         /** Each request that was taken has one final answer, at most half a second after its deadline. */
         ANSWER,
-        /** No attempt begins more than 0.1 s after the client has left. */
+        /** No attempt begins more than 0.1 s after the client has left or its time is over, also after a stop. */
         ATTEMPT_AFTER_LEAVE,
         /** The deadline passed to a cache is at most what the client has left, and 0.15 s. */
         DEADLINE_PASSED_ON,
@@ -183,12 +183,12 @@
         if (request == null) {
             return;
         }
-        long grace = slack + Math.max(0, pausedUntil.getOrDefault(director, 0L) - request.leftAt);
-        if (request.leftAt != Long.MAX_VALUE && at > request.leftAt + LEAVE_GRACE + grace) {
+        long goneAt = Math.min(request.leftAt, request.deadline);
+        if (at > goneAt + LEAVE_GRACE + slack) {
             violated(
                     Term.ATTEMPT_AFTER_LEAVE,
                     at,
-                    "attempt of " + id + " " + (at - request.leftAt) / 1_000 + " ms after its client left director "
+                    "attempt of " + id + " " + (at - goneAt) / 1_000 + " ms after its client left director "
                             + director);
         }
         long left = request.deadline - at;
@@ -275,6 +275,13 @@
         unlistedSince.putIfAbsent(key(director, cache), at);
     }
 
+    /** The events that a director counts as notified of from {@code since} on are held back: it is notified at {@code until}. */
+    public void notificationsHeld(int director, long since, long until) {
+        for (Map<String, Long> notified : List.of(unlistedSince, startNotified, purgeNotified)) {
+            notified.replaceAll((key, at) -> key.startsWith(director + "/") && at >= since ? until : at);
+        }
+    }
+
     /** An object was purged, and a director counts as notified at {@code notifiedAt}. */
     public void purgeNotified(int director, String object, long at, long notifiedAt) {
         purgedAt.put(object, at);
--- a/src/main/java/pewtercourse/soak/SoakRun.java
+++ b/src/main/java/pewtercourse/soak/SoakRun.java
@@ -52,6 +52,14 @@
     /** Longest deadline, counted as 3 s at most, plus 0.7 s. */
     private static final long KILL_AFTER_TERM_MS = 3_700;
 
+    /** Time between two stops of a director that gets little processor time. */
+    private static final int STARVED_RUN_MS = 20;
+    /** Time in which such a director answers what has waited. */
+    private static final int STARVED_CATCH_UP_MS = 1_000;
+
+    /** Time of an event from the feed to the other end of its proxy, at most. */
+    private static final long EVENT_ON_THE_WAY = 5_000;
+
     private static final long LAG_CHECK_MS = 10;
     private static final long LAG_MEMORY = 2 * MICROS;
     private static final long START_TIMEOUT_S = 60;
@@ -388,7 +396,7 @@
                 vertx.setTimer(fault.lengthMs(), timer -> link.setDelayMs(0));
             }
             case LINK_RESET -> link.reset();
-            case FEED_HELD -> hold(List.of(feedLinks.get(fault.director())), fault.lengthMs());
+            case FEED_HELD -> holdFeed(fault);
             case FEED_RESET -> feedLinks.get(fault.director()).reset();
             case CLIENTS_LEAVE -> clients.get(fault.director()).leaveUntil(now() + fault.lengthMs() * MICROS_PER_MILLI);
             case CROWD -> clients.get(fault.director()).crowd(fault.amount(), fault.lengthMs());
@@ -396,6 +404,7 @@
             case KILL -> killWithoutWarning(director);
             case RELOAD -> reload(director);
             case PAUSE -> pause(director, fault.lengthMs());
+            case STARVED -> starve(director, fault);
             default -> injectSystemFault(director, fault);
         }
     }
@@ -421,6 +430,13 @@
         vertx.setTimer(lengthMs, timer -> links.forEach(FaultProxy::release));
     }
 
+    // What the feed wrote just before has not passed the proxy yet: it counts as told when the page has it at the
+    // latest.
+    private void holdFeed(Fault fault) {
+        hold(List.of(feedLinks.get(fault.director())), fault.lengthMs());
+        oracle.notificationsHeld(fault.director(), now() - EVENT_ON_THE_WAY - slack(), now() + NOTIFIED_BY);
+    }
+
     private void restartCaches(List<Integer> numbers, long downMs) {
         List<Integer> free = numbers.stream().filter(cache -> !cacheBusy[cache]).toList();
         for (int cache : free) {
@@ -573,6 +589,18 @@
         oracle.paused(director.number, now() + lengthMs * MICROS_PER_MILLI + MICROS);
     }
 
+    private void starve(DirectorInstance director, Fault fault) {
+        if (director.state != DirectorInstance.State.READY) {
+            return;
+        }
+        int stops = (int) (fault.lengthMs() / (fault.amount() + STARVED_RUN_MS));
+        vertx.executeBlocking(() -> {
+            director.stopRepeatedly(stops, fault.amount(), STARVED_RUN_MS);
+            return null;
+        });
+        oracle.paused(director.number, now() + (fault.lengthMs() + STARVED_CATCH_UP_MS) * MICROS_PER_MILLI);
+    }
+
     private void pollResources() {
         for (DirectorInstance director : directors) {
             if (director.state == DirectorInstance.State.READY) {
--- a/src/test/java/pewtercourse/soak/SoakOracleTest.java
+++ b/src/test/java/pewtercourse/soak/SoakOracleTest.java
@@ -57,6 +57,16 @@
         assertViolated(SoakOracle.Term.ATTEMPT_AFTER_LEAVE);
     }
 
+    @Test
+    void anAttemptMayBeginATenthOfASecondAfterTheTimeOfItsClientAlsoAfterAStop() {
+        request();
+        oracle.paused(0, DEADLINE + 2 * SoakOracle.LEAVE_GRACE);
+        attempt(DEADLINE + SoakOracle.LEAVE_GRACE, 0, 0);
+        assertViolated();
+        attempt(DEADLINE + SoakOracle.LEAVE_GRACE + 1, 0, 0);
+        assertViolated(SoakOracle.Term.ATTEMPT_AFTER_LEAVE);
+    }
+
     @Test
     void theDeadlinePassedOnIsWhatTheClientHasLeftWithSomeSlack() {
         request();
@@ -87,6 +97,20 @@
         assertViolated(SoakOracle.Term.DRAIN);
     }
 
+    @Test
+    void anEventThatIsHeldBackOnItsWayCountsWhenItIsToldAtTheLatest() {
+        request();
+        oracle.unlistedNotified(0, "s", 10);
+        oracle.unlistedNotified(1, "s", 10);
+        oracle.notificationsHeld(0, 11, 1_000_000);
+        oracle.notificationsHeld(1, 10, 1_000_000);
+        oracle.attemptSent(ID, 1, "s", SoakOracle.DRAIN_GRACE + 11, 0, 0, 0);
+        assertViolated();
+        oracle.attemptSent(ID, 1, "s", SoakOracle.DRAIN_GRACE + 1_000_001, 0, 0, 0);
+        attempt(SoakOracle.DRAIN_GRACE + 11, 0, 0);
+        assertViolated(SoakOracle.Term.DRAIN, SoakOracle.Term.DRAIN);
+    }
+
     @Test
     void aColdCacheThatFallsUnderNotifiedDirectorsBreaksTheBudget() {
         oracle.readyNotified(0, "s", 1, true);
