--- a/src/main/java/pewtercourse/director/RouterEventQueue.java
+++ b/src/main/java/pewtercourse/director/RouterEventQueue.java
@@ -14,9 +14,9 @@
  * times are microseconds.
  */
 final class RouterEventQueue {
-    // Many events are queued after a long turn. If all were handled in one turn, sockets and timers would be
-    // delayed further.
-    private static final int MAX_BATCH_EVENTS = 256;
+    // The events of one batch are handled before the sockets are read again: a leave or a drain that arrives meanwhile
+    // waits for no more than these.
+    private static final int MAX_BATCH_EVENTS = 32;
 
     private final Router router;
     private final boolean remoteZone;
