--- a/src/test/java/pewtercourse/cluster/StorageFaultTest.java
+++ b/src/test/java/pewtercourse/cluster/StorageFaultTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pewtercourse.cluster.ClusterProcesses.await;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -11,11 +12,14 @@
 import java.nio.file.StandardOpenOption;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Tests full disks and unusable data folders. */
 class StorageFaultTest extends ClusterFaultTestBase {
+    private static final long STAYS_READY_MS = 100;
+
     private static final int UNUSABLE_FOLDER_EXIT_CODE = 2;
 
     @Test
@@ -33,6 +37,8 @@
                     .anyMatch(line -> line.startsWith(fullMember.name + " ") && line.contains("cluster.disk_failed"));
         });
         await("the other members commit", () -> remaining.get(0).enterMaintenance(CACHE));
+        await("the director beside the full disk is ready", () -> isServing(fullMember));
+        TimeUnit.MILLISECONDS.sleep(STAYS_READY_MS);
         assertTrue(fullMember.isServing(), "the director must keep serving");
         fullMember.kill();
         fullMember.maxFileKilobytes = 0;
@@ -40,6 +46,14 @@
         await("restarted without the limit, the member has caught up", () -> fullMember.isDrained(CACHE));
     }
 
+    private static boolean isServing(MemberProcess member) {
+        try {
+            return member.isServing();
+        } catch (IOException e) {
+            return false; // It does not listen yet.
+        }
+    }
+
     @Test
     void aFolderInUseIsNeitherOpenedNorInitializedAgain() throws Exception {
         MemberProcess member = cluster.members.get(0);
