--- a/src/test/java/pewtercourse/director/LateTurnTest.java
+++ b/src/test/java/pewtercourse/director/LateTurnTest.java
@@ -19,6 +19,7 @@
 import pewtercourse.front.ClientRequest;
 import pewtercourse.front.FrontTransport;
 import pewtercourse.front.LimitedListener;
+import pewtercourse.front.ReadDelays;
 
 /** The event loop is busy until a request's deadline has passed. */
 class LateTurnTest {
@@ -107,5 +108,10 @@
         assertEquals(
                 Answer.Kind.REFUSED, answer.get(WAIT_SECONDS, TimeUnit.SECONDS).kind());
         assertEquals(0, EventLoopCalls.call(vertx, caches.exchanges::size));
+        assertEquals(
+                1,
+                EventLoopCalls.call(
+                        vertx,
+                        () -> director.gaugeValues(0, 0, new ReadDelays()).overloadRejections()));
     }
 }
