--- a/src/test/java/pewtercourse/backlog/BacklogTest.java
+++ b/src/test/java/pewtercourse/backlog/BacklogTest.java
@@ -17,8 +17,6 @@
 @Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class BacklogTest {
     private static final int RATE = 250;
-    /** A stop of 450 ms between the check and the write of one attempt is out of reach, so it has to be unlikely. */
-    private static final int LOW_RATE = 50;
     /** More than a director can serve that runs for a sixth of the time. */
     private static final int HIGH_RATE = 1_200;
 
@@ -65,7 +63,7 @@
     }
 
     private static BacklogPlan longStops() {
-        return BacklogPlan.of(LOW_RATE, SECONDS, 600).withStops(450, 400).withLeaves(Way.CLOSE, 0.3);
+        return BacklogPlan.of(RATE, SECONDS, 600).withStops(450, 400).withLeaves(Way.CLOSE, 0.3);
     }
 
     @Test
