Wait until all directors are ready before a fault test asks whether they serve

The director serves; the test asked too early. GET /status says 200 once a director has warmed up, which takes up to 1.2 s since where the list has changed.

The check itself is as it was; before the first fault and after each recovery all directors must be ready now, also those that were killed.

--- a/src/test/java/pewtercourse/cluster/ClusterProcesses.java
+++ b/src/test/java/pewtercourse/cluster/ClusterProcesses.java
@@ -122,7 +122,7 @@
         JsonObject config = ExampleConfig.json().put("listen", listen).put("peers", new JsonArray());
         config.remove("feed");
         config.remove("peer_listen");
-        // A sequence number of 1 stands for a list that has changed before, so that there is no warm-up.
+        // A sequence number of 1 stands for a list that has changed before, which shortens the warm-up.
         config.getJsonObject("known")
                 .getJsonArray("events")
                 .getJsonObject(0)
@@ -229,6 +229,13 @@
         return leader[0];
     }
 
+    /** Waits until the directors have warmed up and serve clients. */
+    static void awaitServing(List<MemberProcess> directors) throws InterruptedException {
+        await(
+                "directors " + names(directors) + " serve",
+                () -> directors.stream().allMatch(MemberProcess::isServing));
+    }
+
     static List<String> names(List<MemberProcess> members) {
         return members.stream().map(member -> member.name).toList();
     }
--- a/src/test/java/pewtercourse/cluster/MemberProcess.java
+++ b/src/test/java/pewtercourse/cluster/MemberProcess.java
@@ -138,9 +138,13 @@
         return get("/cluster/status");
     }
 
-    /** Returns whether the director serves clients, independently of its cluster. */
-    boolean isServing() throws IOException {
-        return call("GET /status", "").startsWith(OK);
+    /** Returns whether the director serves clients, independently of its cluster; false also if the call fails. */
+    boolean isServing() {
+        try {
+            return call("GET /status", "").startsWith(OK);
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     boolean enterMaintenance(String cache) {
--- a/src/test/java/pewtercourse/cluster/RandomFaultTest.java
+++ b/src/test/java/pewtercourse/cluster/RandomFaultTest.java
@@ -80,6 +80,7 @@
             cluster.start();
             cluster.awaitLeader(cluster.members);
             RandomOperators operators = new RandomOperators(cluster, seed, CACHES);
+            ClusterProcesses.awaitServing(cluster.members);
             for (int i = 0; i < FAULTS_PER_SEED; i++) {
                 injectFaultAndRecover();
             }
@@ -157,7 +158,7 @@
         cluster.link(member, other).reset();
     }
 
-    private static void assertServesWithoutMajority(MemberProcess survivor) throws Exception {
+    private static void assertServesWithoutMajority(MemberProcess survivor) throws InterruptedException {
         await("the remaining member knows no leader", () -> {
             JsonObject status = survivor.status();
             return status != null && status.getValue("leader") == null;
@@ -167,6 +168,7 @@
 
     private void awaitRecovery() throws InterruptedException {
         cluster.awaitLeader(cluster.members);
+        ClusterProcesses.awaitServing(cluster.members);
         cluster.awaitLeaseHolder("maintenance", cluster.members);
         cluster.awaitLeaseHolder("quota", cluster.members);
         await("all members know one leader and at most one drain", () -> {
--- a/src/test/java/pewtercourse/cluster/SiteFaultTest.java
+++ b/src/test/java/pewtercourse/cluster/SiteFaultTest.java
@@ -7,7 +7,6 @@
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -59,7 +58,7 @@
         cluster.start();
         cluster.awaitLeader(cluster.members);
         cluster.awaitLeaseHolder("sites", cluster.members);
-        await("all directors serve", () -> cluster.members.stream().allMatch(SiteFaultTest::isServing));
+        ClusterProcesses.awaitServing(cluster.members);
         emulation.startClients();
         await(
                 "failover plan for the load of clients",
@@ -71,14 +70,6 @@
                 }));
     }
 
-    private static boolean isServing(MemberProcess member) {
-        try {
-            return member.isServing();
-        } catch (IOException e) {
-            return false;
-        }
-    }
-
     private JsonObject sitesFile(boolean withTakers) {
         JsonArray sites = new JsonArray();
         for (MemberProcess member : cluster.members) {
--- a/src/test/java/pewtercourse/cluster/StorageFaultTest.java
+++ b/src/test/java/pewtercourse/cluster/StorageFaultTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pewtercourse.cluster.ClusterProcesses.await;
 
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -37,7 +36,7 @@
                     .anyMatch(line -> line.startsWith(fullMember.name + " ") && line.contains("cluster.disk_failed"));
         });
         await("the other members commit", () -> remaining.get(0).enterMaintenance(CACHE));
-        await("the director beside the full disk is ready", () -> isServing(fullMember));
+        ClusterProcesses.awaitServing(List.of(fullMember));
         TimeUnit.MILLISECONDS.sleep(STAYS_READY_MS);
         assertTrue(fullMember.isServing(), "the director must keep serving");
         fullMember.kill();
@@ -46,14 +45,6 @@
         await("restarted without the limit, the member has caught up", () -> fullMember.isDrained(CACHE));
     }
 
-    private static boolean isServing(MemberProcess member) {
-        try {
-            return member.isServing();
-        } catch (IOException e) {
-            return false; // It does not listen yet.
-        }
-    }
-
     @Test
     void aFolderInUseIsNeitherOpenedNorInitializedAgain() throws Exception {
         MemberProcess member = cluster.members.get(0);
