Check a request again between the library and the system call that writes it

Cause: the process was stopped after the check and the computation of the time limit, and wrote when it ran again. Encoding, the library's pipeline and its queue all lay between the check and the system call.

RequestWrite is handed to the library in place of bytes. It is asked for its bytes at the system call, and there consults WriteCheck once more: the time limit is computed, and nothing is written if the check is over 50 ms old, the deadline has passed or the attempt has ended. That also holds for the rest of a request that the socket did not take at once. 50 ms is half of the 0.1 s of the rule on leaves; the other half is for the network and the cache's read. An attempt of which nothing was written ends as OVERTAKEN, its connection closes.

What remains between check and system call is about a microsecond.

--- a/src/main/java/pewtercourse/cache/Attempt.java
+++ b/src/main/java/pewtercourse/cache/Attempt.java
@@ -17,6 +17,10 @@
 public final class Attempt {
     // A connection that is established up to this long after the connect timeout is kept for a later attempt.
     private static final long LATE_CONNECT_GRACE_MS = 100;
+    // Half of the time after which an attempt for a client that has left breaks the rules: the other half is for the
+    // network
+    // and for the cache, which reads the request later than it was written.
+    private static final long MAX_CHECK_AGE_MICROS = 50_000;
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final ConnectionPool pool;
@@ -32,7 +36,8 @@
     private Object generation;
     private CacheConnection connection;
     private long timer = -1;
-    private boolean requestWritten;
+    private boolean exchangeBegun; // The connection carries the request, or will.
+    private boolean requestWritten; // At least its first byte.
     private boolean finished;
 
     /**
@@ -115,32 +120,50 @@
         }
     }
 
-    // The request may have left once it is written: if the connection ends then, it may have run, on a new connection
-    // as
-    // on a reused one.
+    // The request may have left once it is written: if the connection ends then, it may have run.
     private void writeRequest() {
-        var exchange = connection.exchange(request, this::checkBeforeWrite);
+        var exchange = connection.exchange(request, new CheckBeforeWrite());
         if (finished) {
             return;
         }
-        pool.recordRequestWritten();
         timer = timers.set(Timers.millis(deadline - clock.getAsLong()), this::onTimeout);
-        exchange.onComplete(exchanged ->
-                finish(exchanged.succeeded() ? exchanged.result() : CacheResponse.of(AttemptResult.RESET)));
+        exchange.onComplete(exchanged -> finish(exchanged.succeeded() ? exchanged.result() : failedExchange()));
     }
 
-    private OptionalLong checkBeforeWrite() {
-        boolean maySend = precondition.getAsBoolean(); // May cancel this attempt.
-        if (!finished && !connection.isOpen()) {
-            finish(CacheResponse.of(AttemptResult.REFUSED));
+    private CacheResponse failedExchange() {
+        return CacheResponse.of(requestWritten ? AttemptResult.RESET : AttemptResult.OVERTAKEN);
+    }
+
+    private final class CheckBeforeWrite implements WriteCheck {
+        private long checkedAt;
+
+        @Override
+        public boolean mayWrite() {
+            checkedAt = clock.getAsLong();
+            boolean maySend = precondition.getAsBoolean(); // May cancel this attempt.
+            if (!finished && !connection.isOpen()) {
+                finish(CacheResponse.of(AttemptResult.REFUSED));
+            }
+            boolean cacheReplaced = pool.generation(cacheId) != generation;
+            if (deadline <= clock.getAsLong() || cacheReplaced || !maySend) {
+                finish(CacheResponse.of(AttemptResult.OVERTAKEN));
+            }
+            exchangeBegun = !finished;
+            return exchangeBegun;
         }
-        long remainingMicros = deadline - clock.getAsLong();
-        boolean cacheReplaced = pool.generation(cacheId) != generation;
-        if (remainingMicros <= 0 || cacheReplaced || !maySend) {
-            finish(CacheResponse.of(AttemptResult.OVERTAKEN));
+
+        @Override
+        public OptionalLong timeoutMs() {
+            long now = clock.getAsLong();
+            if (finished || now >= deadline || now - checkedAt > MAX_CHECK_AGE_MICROS) {
+                return OptionalLong.empty();
+            }
+            if (!requestWritten) {
+                requestWritten = true;
+                pool.recordRequestWritten();
+            }
+            return OptionalLong.of(Math.max(1, (deadline - now) / MICROS_PER_MILLI));
         }
-        requestWritten = !finished;
-        return finished ? OptionalLong.empty() : OptionalLong.of(Math.max(1, remainingMicros / MICROS_PER_MILLI));
     }
 
     /** Reads what the cache has sent until now; the attempt finishes if that completes the response. */
@@ -169,7 +192,7 @@
     }
 
     private void releaseConnection(AttemptResult result) {
-        if (!requestWritten) {
+        if (!exchangeBegun) {
             pool.keepIdle(cacheId, generation, connection);
             return;
         }
--- a/src/main/java/pewtercourse/cache/CacheConnection.java
+++ b/src/main/java/pewtercourse/cache/CacheConnection.java
@@ -5,8 +5,8 @@
 /** A connection to a cache, which carries one request at a time. */
 public interface CacheConnection {
     /**
-     * Writes the request if the check, which is evaluated last, allows it. Fails if it does not, or if the connection ends
-     * before the response is complete.
+     * Writes the request if the check, which is evaluated last, allows it. Fails if it does not, if the check expires before
+     * the request is written ({@link WriteExpiredException}), or if the connection ends before the response is complete.
      */
     Future<CacheResponse> exchange(CacheRequest request, WriteCheck check);
 
--- a/src/main/java/pewtercourse/cache/CacheRequest.java
+++ b/src/main/java/pewtercourse/cache/CacheRequest.java
@@ -57,25 +57,7 @@
     }
 
     /** An encoded request without its time limit, which is known only when it is written. */
-    static final class Encoded {
-        private static final int MAX_NUMBER_LENGTH = 20;
-
-        private final Buffer beforeTimeout;
-        private final Buffer afterTimeout;
-
-        private Encoded(Buffer beforeTimeout, Buffer afterTimeout) {
-            this.beforeTimeout = beforeTimeout;
-            this.afterTimeout = afterTimeout;
-        }
-
-        /** The bytes of the request. */
-        Buffer withTimeout(long timeoutMs) {
-            return Buffer.buffer(beforeTimeout.length() + MAX_NUMBER_LENGTH + afterTimeout.length())
-                    .appendBuffer(beforeTimeout)
-                    .appendString(String.valueOf(timeoutMs))
-                    .appendBuffer(afterTimeout);
-        }
-    }
+    record Encoded(byte[] beforeTimeout, byte[] afterTimeout) {}
 
     /** Encodes the request as a GET, also with a body: caches answer 400 to any other method. */
     Encoded encode(String host) {
@@ -93,8 +75,8 @@
         appendField(head, "X-Flags", flags().isEmpty() ? null : flags());
         appendField(head, "If-None-Match", knownTag);
         appendField(head, "Content-Length", body.length() > 0 ? String.valueOf(body.length()) : null);
-        return new Encoded(
-                beforeTimeout, Buffer.buffer(head.append("\r\n").toString()).appendBuffer(body));
+        Buffer afterTimeout = Buffer.buffer(head.append("\r\n").toString()).appendBuffer(body);
+        return new Encoded(beforeTimeout.getBytes(), afterTimeout.getBytes());
     }
 
     private static void appendField(StringBuilder head, String name, String value) {
--- a/src/main/java/pewtercourse/cache/HttpTransport.java
+++ b/src/main/java/pewtercourse/cache/HttpTransport.java
@@ -1,16 +1,16 @@
 package pewtercourse.cache;
 
+import io.netty.buffer.ByteBufAllocator;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.ConnectOptions;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
-import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.net.InetSocketAddress;
-import java.util.OptionalLong;
 import pewtercourse.eventloop.SocketInput;
 import pewtercourse.memory.ReadControl;
 import pewtercourse.memory.SocketReads;
@@ -40,11 +40,11 @@
         ConnectOptions options = new ConnectOptions()
                 .setRemoteAddress(SocketAddress.inetSocketAddress(address))
                 .setTimeout((int) timeoutMs);
-        return client.connect(options).map(socket -> new Connection(socket, host));
+        return client.connect(options).map(socket -> new Connection((NetSocketInternal) socket, host));
     }
 
     private final class Connection implements CacheConnection, ReadControl.PausableRead {
-        private final NetSocket socket;
+        private final NetSocketInternal socket;
         private final String host;
         private final ResponseReader reader = new ResponseReader();
         private Promise<CacheResponse> response;
@@ -53,7 +53,7 @@
         private boolean paused;
         private Runnable onClose = () -> {};
 
-        Connection(NetSocket socket, String host) {
+        Connection(NetSocketInternal socket, String host) {
             this.socket = socket;
             this.host = host;
             SocketReads.limitPieces(socket, MAX_PIECE_BYTES);
@@ -129,16 +129,14 @@
         @Override
         public Future<CacheResponse> exchange(CacheRequest request, WriteCheck check) {
             CacheRequest.Encoded encoded = request.encode(host);
-            OptionalLong timeoutMs = check.timeoutMs();
-            if (timeoutMs.isEmpty() || !open) {
+            if (!check.mayWrite() || !open) {
                 return Future.failedFuture("not written");
             }
-            // Nothing stands between the check and the write that takes time.
-            Future<Void> written = socket.write(encoded.withTimeout(timeoutMs.getAsLong()));
             Promise<CacheResponse> exchange = Promise.promise();
             response = exchange;
             reader.expectResponseTo(request);
-            written.onFailure(exchange::tryFail);
+            ByteBufAllocator allocator = socket.channelHandlerContext().alloc();
+            socket.writeMessage(new RequestWrite(allocator, encoded, check)).onFailure(exchange::tryFail);
             return exchange.future();
         }
 
--- /dev/null
+++ b/src/main/java/pewtercourse/cache/RequestWrite.java
@@ -0,0 +1,106 @@
+package pewtercourse.cache;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.FileRegion;
+import io.netty.util.AbstractReferenceCounted;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.WritableByteChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+
+/**
+ * Writes an encoded request to the channel of a socket, and consults its {@link WriteCheck} between the library and the system
+ * call: the process may be stopped at any instruction, and what was checked before the stop may no longer hold after it. Once
+ * the check has expired the write fails, which closes the connection.
+ */
+final class RequestWrite extends AbstractReferenceCounted implements FileRegion {
+    private static final int MAX_DIGITS = 19;
+
+    private final WriteCheck check;
+    private final ByteBuf bytes;
+    // The head before the time limit is moved to the digits of the limit, which are known last.
+    private final byte[] beforeTimeout;
+    private final int digitsEnd;
+    private ByteBuffer unwritten;
+    private long transferred;
+
+    RequestWrite(ByteBufAllocator allocator, CacheRequest.Encoded request, WriteCheck check) {
+        this.check = check;
+        this.beforeTimeout = request.beforeTimeout();
+        this.digitsEnd = beforeTimeout.length + MAX_DIGITS;
+        this.bytes = allocator.directBuffer(digitsEnd + request.afterTimeout().length);
+        bytes.writeZero(digitsEnd).writeBytes(request.afterTimeout());
+    }
+
+    @Override
+    public long transferTo(WritableByteChannel target, long position) throws IOException {
+        OptionalLong timeoutMs = check.timeoutMs();
+        if (timeoutMs.isEmpty()) {
+            throw new WriteExpiredException();
+        }
+        if (unwritten == null) {
+            unwritten = encode(timeoutMs.getAsLong());
+        }
+        int written = target.write(unwritten);
+        transferred += written;
+        return written;
+    }
+
+    private ByteBuffer encode(long timeoutMs) {
+        byte[] digits = Long.toString(timeoutMs).getBytes(StandardCharsets.US_ASCII);
+        int start = digitsEnd - digits.length - beforeTimeout.length;
+        bytes.setBytes(start, beforeTimeout).setBytes(digitsEnd - digits.length, digits);
+        return bytes.nioBuffer(start, bytes.writerIndex() - start);
+    }
+
+    /** The number of bytes to write; a lower bound until the first byte is written. */
+    @Override
+    public long count() {
+        return unwritten == null ? bytes.writerIndex() - digitsEnd + 1L : transferred + unwritten.remaining();
+    }
+
+    @Override
+    public long position() {
+        return 0;
+    }
+
+    @Override
+    public long transferred() {
+        return transferred;
+    }
+
+    @Override
+    @Deprecated
+    public long transfered() {
+        return transferred;
+    }
+
+    @Override
+    protected void deallocate() {
+        bytes.release();
+    }
+
+    @Override
+    public RequestWrite retain() {
+        super.retain();
+        return this;
+    }
+
+    @Override
+    public RequestWrite retain(int increment) {
+        super.retain(increment);
+        return this;
+    }
+
+    @Override
+    public RequestWrite touch() {
+        return this;
+    }
+
+    @Override
+    public RequestWrite touch(Object hint) {
+        return this;
+    }
+}
--- a/src/main/java/pewtercourse/cache/WriteCheck.java
+++ b/src/main/java/pewtercourse/cache/WriteCheck.java
@@ -2,9 +2,14 @@
 
 import java.util.OptionalLong;
 
-/** Decides just before the first byte of a request is written whether it may still be written. */
-@FunctionalInterface
+/** Decides whether a request may be written to a cache, up to the moment at which its bytes leave. */
 public interface WriteCheck {
-    /** Returns how long the cache may take, in milliseconds; empty if the request must not be written. */
+    /** Reads what has arrived and returns whether the request may be written. */
+    boolean mayWrite();
+
+    /**
+     * Returns how long the cache may take, in milliseconds. Called just before each write of bytes of the request; empty
+     * if {@link #mayWrite} was evaluated too long ago or the time is over, and nothing more must be written.
+     */
     OptionalLong timeoutMs();
 }
--- a/src/test/java/pewtercourse/cache/AttemptModelTest.java
+++ b/src/test/java/pewtercourse/cache/AttemptModelTest.java
@@ -52,7 +52,7 @@
 
         @Override
         public Future<CacheResponse> exchange(CacheRequest request, WriteCheck check) {
-            if (check.timeoutMs().isEmpty()) {
+            if (!check.mayWrite() || check.timeoutMs().isEmpty()) {
                 return Future.failedFuture("not written");
             }
             assertTrue(open, "written to a closed connection");
--- a/src/test/java/pewtercourse/cache/AttemptUnreadResponseTest.java
+++ b/src/test/java/pewtercourse/cache/AttemptUnreadResponseTest.java
@@ -34,7 +34,7 @@
     private final class Connection implements CacheConnection {
         @Override
         public Future<CacheResponse> exchange(CacheRequest request, WriteCheck check) {
-            if (check.timeoutMs().isEmpty()) {
+            if (!check.mayWrite() || check.timeoutMs().isEmpty()) {
                 return Future.failedFuture("not written");
             }
             response = Promise.promise();
--- a/src/test/java/pewtercourse/cache/CacheRequestFieldsTest.java
+++ b/src/test/java/pewtercourse/cache/CacheRequestFieldsTest.java
@@ -18,23 +18,21 @@
 class CacheRequestFieldsTest {
     private static String encode(
             String id, String key, String source, int rank, long maxAge, boolean[] flags, String tag, String body) {
-        return new CacheRequest(
-                        id,
-                        "menu-page",
-                        "7f3a",
-                        3,
-                        key,
-                        Buffer.buffer(body),
-                        source,
-                        rank,
-                        maxAge,
-                        flags[0],
-                        flags[1],
-                        flags[2],
-                        tag)
-                .encode("127.0.0.1:9001")
-                .withTimeout(900)
-                .toString();
+        CacheRequest request = new CacheRequest(
+                id,
+                "menu-page",
+                "7f3a",
+                3,
+                key,
+                Buffer.buffer(body),
+                source,
+                rank,
+                maxAge,
+                flags[0],
+                flags[1],
+                flags[2],
+                tag);
+        return RequestWriteTest.written(request.encode("127.0.0.1:9001"), 900);
     }
 
     private static boolean[] flags(boolean coalesce, boolean onlyIfCached, boolean background) {
--- a/src/test/java/pewtercourse/cache/HttpTransportTest.java
+++ b/src/test/java/pewtercourse/cache/HttpTransportTest.java
@@ -1,6 +1,8 @@
 package pewtercourse.cache;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -24,6 +26,8 @@
 
 class HttpTransportTest {
     private static final int BODY_BYTES = 240_000;
+    private static final CacheRequest REQUEST =
+            new CacheRequest("id", "c", "o", 0, null, Buffer.buffer(), null, 0, 0, false, false, false, null);
     private static final int MAX_COLLECTIONS = 40;
     private static final long SHORT_TIMEOUT_MS = 50;
     private static final long LONG_TIMEOUT_MS = 600_000;
@@ -64,10 +68,8 @@
         int port = await(server.listen(0, "127.0.0.1")).actualPort();
         CacheConnection connection =
                 await(transport().connect(new InetSocketAddress("127.0.0.1", port), LONG_TIMEOUT_MS));
-        CacheRequest request =
-                new CacheRequest("id", "c", "o", 0, null, Buffer.buffer(), null, 0, 0, false, false, false, null);
-        WeakReference<CacheResponse> response =
-                new WeakReference<>(await(connection.exchange(request, () -> OptionalLong.of(LONG_TIMEOUT_MS))));
+        WeakReference<CacheResponse> response = new WeakReference<>(
+                await(connection.exchange(REQUEST, new FixedWriteCheck(true, OptionalLong.of(LONG_TIMEOUT_MS)))));
         for (int i = 0; i < MAX_COLLECTIONS && response.get() != null; i++) {
             System.gc();
             TimeUnit.MILLISECONDS.sleep(50);
@@ -76,6 +78,26 @@
         assertTrue(connection.isOpen());
     }
 
+    // Guards against a request that is sent after a stop of the process between the check and the write.
+    @Test
+    void aRequestWhoseCheckHasExpiredIsNotWritten() throws Exception {
+        CompletableFuture<String> received = new CompletableFuture<>();
+        NetServer server = vertx.createNetServer().connectHandler(socket -> {
+            socket.handler(bytes -> received.complete(bytes.toString()));
+            socket.closeHandler(v -> received.complete(""));
+        });
+        int port = await(server.listen(0, "127.0.0.1")).actualPort();
+        CacheConnection connection =
+                await(transport().connect(new InetSocketAddress("127.0.0.1", port), LONG_TIMEOUT_MS));
+        Future<CacheResponse> exchange = connection.exchange(REQUEST, new FixedWriteCheck(true, OptionalLong.empty()));
+        assertThrows(ExecutionException.class, () -> await(exchange));
+        assertInstanceOf(WriteExpiredException.class, exchange.cause());
+        assertEquals("", received.get(WAIT_SECONDS, TimeUnit.SECONDS));
+        assertFalse(connection.isOpen());
+    }
+
+    private record FixedWriteCheck(boolean mayWrite, OptionalLong timeoutMs) implements WriteCheck {}
+
     private static <T> T await(Future<T> future) throws Exception {
         return future.toCompletionStage().toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
     }
--- a/src/test/java/pewtercourse/director/ScriptedTransport.java
+++ b/src/test/java/pewtercourse/director/ScriptedTransport.java
@@ -34,7 +34,7 @@
 
             @Override
             public Future<CacheResponse> exchange(CacheRequest request, WriteCheck check) {
-                if (check.timeoutMs().isEmpty()) {
+                if (!check.mayWrite() || check.timeoutMs().isEmpty()) {
                     return Future.failedFuture("not written");
                 }
                 requests.add(request);
