Leave connections over the limit in the accept queue until others have closed

Callers saw (a play of the reproduction): 61 requests without an answer, their connections closed 71 to 111 ms after the request, and front.no_descriptor connections=413 in the log. Cause: the listener accepts on a thread of its own and closed what came over its limit, unread. The event loop was 1.3 s behind (three directors compiled on one core), so most of the 413 had been closed by their clients, who held fewer than 300; the director had not read that yet. A request on a connection that the machine has accepted is lost with it.

The listener now leaves connections in the accept queue and looks again after 5 ms. The table of connections, on the event loop, still keeps their number below the limit, so that the descriptors of feed and caches stay free. Leaving them also mends a second fault: a rejected connection was reported as a queue that is empty, so that later ones counted as sent after that.

--- a/src/main/java/pewtercourse/front/LimitedListener.java
+++ b/src/main/java/pewtercourse/front/LimitedListener.java
@@ -3,8 +3,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import pewtercourse.Log;
@@ -12,7 +10,8 @@
 /**
  * A listening socket that limits the number of its open connections. Vert.x accepts on a thread of its own: without the
  * limit, clients could use up the descriptors that the control feed and the caches need while the event loop is busy, as it
- * is at a start. Connections over the limit are closed unread.
+ * is at a start. Connections over the limit wait in the accept queue until the event loop has closed others: a request may
+ * have arrived on them.
  */
 public class LimitedListener extends RetryingListener {
     // The JDK releases the descriptor of a closed socket only in the next run of its selector.
@@ -33,19 +32,18 @@
     }
 
     @Override
-    int acceptWaiting(List<Object> accepted) throws Exception {
-        if (openConnections.get() >= maxConnections) {
-            rejectNextConnection();
-            return 0;
+    boolean hasCapacity() {
+        int open = openConnections.get();
+        if (open >= maxConnections) {
+            Log.counted("front.no_descriptor", "connections", open);
         }
-        int sizeBefore = accepted.size();
-        int acceptedCount = super.acceptWaiting(accepted);
-        for (Object child : accepted.subList(sizeBefore, accepted.size())) {
-            openConnections.incrementAndGet();
-            Channel channel = (Channel) child;
-            channel.closeFuture().addListener(closed -> onChannelClosed(channel.eventLoop()));
-        }
-        return acceptedCount;
+        return open < maxConnections;
+    }
+
+    @Override
+    void onAccepted(Channel connection) {
+        openConnections.incrementAndGet();
+        connection.closeFuture().addListener(closed -> onChannelClosed(connection.eventLoop()));
     }
 
     private void onChannelClosed(EventLoop eventLoop) {
@@ -53,12 +51,4 @@
             eventLoop.schedule(openConnections::decrementAndGet, DESCRIPTOR_RELEASE_MS, TimeUnit.MILLISECONDS);
         }
     }
-
-    private void rejectNextConnection() throws Exception {
-        SocketChannel connection = javaChannel().accept();
-        if (connection != null) {
-            connection.close();
-            Log.counted("front.no_descriptor", "connections", openConnections.get());
-        }
-    }
 }
--- a/src/main/java/pewtercourse/front/RetryingListener.java
+++ b/src/main/java/pewtercourse/front/RetryingListener.java
@@ -13,7 +13,8 @@
 
 /**
  * A listening socket that goes on accepting a moment after a failed accept. By default Netty pauses for a second, while
- * clients that have connected wait for their answers. Each accepted connection carries the last time at which none was
+ * clients that have connected wait for their answers. A subclass may leave connections in the accept queue for a while. Each
+ * accepted connection carries the last time at which none was
  * waiting ({@link SocketInput#setAcceptQueueEmptyAt}).
  */
 class RetryingListener extends NioServerSocketChannel {
@@ -30,11 +31,14 @@
         super(socket);
     }
 
-    /** Accepts connections that are waiting; returns how many were added to {@code accepted}. */
-    int acceptWaiting(List<Object> accepted) throws Exception {
-        return super.doReadMessages(accepted);
+    /** Whether a connection may be accepted now. */
+    boolean hasCapacity() {
+        return true;
     }
 
+    /** A connection was accepted. */
+    void onAccepted(Channel connection) {}
+
     @Override
     protected void doBeginRead() throws Exception {
         if (arrivals == null) {
@@ -46,29 +50,43 @@
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
         arrivals.beginReads();
-        long beganNanos = System.nanoTime();
+        if (!hasCapacity()) {
+            pauseAccepting();
+            return 0;
+        }
         try {
-            int sizeBefore = accepted.size();
-            int count = acceptWaiting(accepted);
-            if (count == 0) {
-                arrivals.recordEmptyAt(beganNanos);
-            }
-            for (Object connection : accepted.subList(sizeBefore, accepted.size())) {
-                SocketInput.setAcceptQueueEmptyAt((Channel) connection, arrivals.emptyAtNanos());
-            }
-            return count;
+            return acceptWaiting(accepted);
         } catch (IOException e) {
             if (!isOpen()) {
                 throw e;
             }
             Log.counted("front.accept_error", "error", e, "retry_ms", RETRY_MS);
-            config().setAutoRead(false);
-            arrivals.pause();
-            eventLoop().schedule(this::acceptAgain, RETRY_MS, TimeUnit.MILLISECONDS);
+            pauseAccepting();
             return 0;
         }
     }
 
+    private int acceptWaiting(List<Object> accepted) throws Exception {
+        long beganNanos = System.nanoTime();
+        int sizeBefore = accepted.size();
+        int count = super.doReadMessages(accepted);
+        if (count == 0) {
+            arrivals.recordEmptyAt(beganNanos);
+        }
+        for (Object child : accepted.subList(sizeBefore, accepted.size())) {
+            Channel connection = (Channel) child;
+            SocketInput.setAcceptQueueEmptyAt(connection, arrivals.emptyAtNanos());
+            onAccepted(connection);
+        }
+        return count;
+    }
+
+    private void pauseAccepting() {
+        config().setAutoRead(false);
+        arrivals.pause();
+        eventLoop().schedule(this::acceptAgain, RETRY_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void acceptAgain() {
         arrivals.resume();
         config().setAutoRead(true);
