Count the shutdown's cut-off from when a stopped process may have got its SIGTERM

Callers would see: requests that come within the time that SIGKILL excuses no longer are taken and lost with the process.

The shutdown now begins at the earliest time at which the signal may have been sent: the begin of the turn of the event loop that is under way, or of the last turn of 50 ms or more if it ended within the 100 ms before. Requests that are refused too early by this (at most as long as the process stood still) may be sent again; none is lost.

ShutdownTest.theCutOffCountsFromASigtermThatWaitedWhileTheProcessWasStopped: SIGTERM during a stop of 400 ms.

--- a/src/main/java/pewtercourse/Service.java
+++ b/src/main/java/pewtercourse/Service.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.SocketAddress;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import pewtercourse.admin.AdminServer;
 import pewtercourse.admin.ClusterCalls;
 import pewtercourse.admin.Operations;
@@ -11,6 +12,7 @@
 import pewtercourse.config.DirectorConfig;
 import pewtercourse.director.Director;
 import pewtercourse.director.Metrics;
+import pewtercourse.eventloop.EventLoopTurns;
 import pewtercourse.failover.Sites;
 import pewtercourse.front.Answer;
 import pewtercourse.front.ClientExchange;
@@ -34,6 +36,7 @@
     private static final long UPGRADE_WARMUP_MS = 2_500;
 
     private final Vertx vertx;
+    private final EventLoopTurns turns = EventLoopTurns.current(); // Null if the event loop does not record them.
     private DirectorConfig config;
     private final HeldBytes held;
     private final Director director;
@@ -277,7 +280,7 @@
      * Starts the shutdown on SIGTERM. With an inherited socket, another process accepts the clients, and this one sends
      * its own clients there. Otherwise this process still serves clients for a while.
      *
-     * @param beganAtMicros when the shutdown began, which may be some time ago if the event loop was busy
+     * @param beganAtMicros when the shutdown began, which may be some time ago if the process was stopped or busy
      */
     void terminate(long beganAtMicros) {
         if (clusterBridge != null) {
@@ -290,9 +293,14 @@
         front.drain(drain);
     }
 
-    /** The director's clock; may be read by any thread. */
-    long nowMicros() {
-        return director.clock().getAsLong();
+    /**
+     * The earliest time on the director's clock at which a signal that is handled now may have been sent. May be called by
+     * any thread.
+     */
+    long earliestSignalMicros() {
+        long nowNanos = System.nanoTime();
+        long waitedNanos = turns == null ? 0 : nowNanos - turns.earliestSignalNanos(nowNanos);
+        return director.clock().getAsLong() - TimeUnit.NANOSECONDS.toMicros(waitedNanos);
     }
 
     /** Returns whether requests that are read from now on are refused. */
--- a/src/main/java/pewtercourse/Shutdown.java
+++ b/src/main/java/pewtercourse/Shutdown.java
@@ -33,7 +33,7 @@
 
     @Override
     public void run() {
-        long beganAtMicros = service.nowMicros();
+        long beganAtMicros = service.earliestSignalMicros();
         Log.info("director.stopping", "open", service.openRequests());
         vertx.runOnContext(v -> {
             service.terminate(beganAtMicros);
--- a/src/main/java/pewtercourse/eventloop/EventLoopTurns.java
+++ b/src/main/java/pewtercourse/eventloop/EventLoopTurns.java
@@ -2,21 +2,31 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Records the turns of one event loop. In each turn the loop polls its sockets, handles all that are ready, then runs tasks
  * and timers. Whatever had arrived before a poll began has been read once that poll is complete. Confined to the thread of
- * its event loop; times are those of {@link System#nanoTime}.
+ * its event loop unless a method says otherwise; times are those of {@link System#nanoTime}.
  */
 public final class EventLoopTurns {
     /** The number of a poll and the time at which it began. */
     public record Poll(long number, long startedNanos) {}
 
+    private record LongTurn(long startedNanos, long endedNanos) {}
+
+    /** A turn from this length on may be a stop of the whole process. */
+    static final long LONG_TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    /** The JVM handles a signal within this time after the process runs again. */
+    static final long SIGNAL_HANDLING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private static final ThreadLocal<EventLoopTurns> OF_THREAD = new ThreadLocal<>();
 
     private List<Runnable> afterNextPoll = new ArrayList<>();
     private List<Runnable> afterThisPoll = List.of();
-    private Poll started;
+    private volatile Poll started;
+    private volatile LongTurn lastLongTurn; // Null before the first one.
     private Poll completed;
     private boolean polling;
 
@@ -36,6 +46,9 @@
 
     /** A poll begins; bytes that arrive from now on may be read by the next one only. */
     void beginPoll(long nowNanos) {
+        if (nowNanos - started.startedNanos() >= LONG_TURN_NANOS) {
+            lastLongTurn = new LongTurn(started.startedNanos(), nowNanos);
+        }
         started = new Poll(started.number() + 1, nowNanos);
         polling = true;
         afterThisPoll = afterNextPoll;
@@ -56,6 +69,16 @@
         return !afterThisPoll.isEmpty();
     }
 
+    /**
+     * The earliest time at which a signal that is handled now may have been sent: while the process is stopped, signals
+     * wait. May be called by any thread.
+     */
+    public long earliestSignalNanos(long nowNanos) {
+        LongTurn longTurn = lastLongTurn;
+        boolean handledAfterLongTurn = longTurn != null && nowNanos - longTurn.endedNanos() <= SIGNAL_HANDLING_NANOS;
+        return handledAfterLongTurn ? longTurn.startedNanos() : started.startedNanos();
+    }
+
     /** Runs an action once a poll that begins later than now is complete. */
     public void afterNextPoll(Runnable action) {
         afterNextPoll.add(action);
--- a/src/test/java/pewtercourse/ShutdownTest.java
+++ b/src/test/java/pewtercourse/ShutdownTest.java
@@ -36,6 +36,7 @@
     private static final int LARGE_ANSWERS = 24;
     private static final int SLOW_READER_PAUSE_MS = 20; // Before each answer.
     private static final long EXCUSED_MS = 700;
+    private static final long STOPPED_MS = 400;
     private static final String PAGE = "menu".repeat(50);
     // Longer than all time limits of a shutdown.
     private static final long EXIT_TIMEOUT_SECONDS = 20;
@@ -302,6 +303,21 @@
         }
     }
 
+    // Guards against a cut-off that counts from when a stopped process handles its SIGTERM.
+    @Test
+    void theCutOffCountsFromASigtermThatWaitedWhileTheProcessWasStopped() throws Exception {
+        startDirector();
+        TimeUnit.MILLISECONDS.sleep(STOPPED_MS);
+        director.signal("STOP");
+        long sentAtMs = System.currentTimeMillis();
+        director.signal("TERM");
+        TimeUnit.MILLISECONDS.sleep(STOPPED_MS);
+        director.signal("CONT");
+        String line = director.awaitEventLine("director.refusing");
+        long refusingAfterMs = Long.parseLong(line.split(" ")[0]) - sentAtMs;
+        assertTrue(refusingAfterMs <= EXCUSED_MS, "refuses from " + refusingAfterMs + " ms after SIGTERM");
+    }
+
     // A connection with a part of a request stays open.
     private static byte[][] pageRequestInParts(int number) {
         byte[] request = pageRequest(number);
