Read a socket until it is empty before an attempt, not one piece of it

Callers would see: an attempt for a client that has left. Before the first byte of an attempt the client's socket was read, but only one piece of it: the limit of reads that the library sets for sockets is lost where an allocator of one's own is set, and is 1 then. The end of a client that stands behind other bytes (a part of a further request, an answer of 8 KB or more from a cache) was left unread.

SocketInput.readArrived reads until nothing is left, 64 times at most, and asks before each piece whether it may: a response that waits for its memory is still not read. A poll reads a ready client 16 times, the library's default.

--- a/src/main/java/pewtercourse/cache/HttpTransport.java
+++ b/src/main/java/pewtercourse/cache/HttpTransport.java
@@ -76,7 +76,7 @@
         // The library reports the end of a connection later only, as a task of the event loop.
         @Override
         public void readArrived() {
-            if (open && !paused && !SocketInput.readArrived(socket)) {
+            if (open && !SocketInput.readArrived(socket, () -> open && !paused)) {
                 onEnded();
             }
         }
--- a/src/main/java/pewtercourse/eventloop/SocketInput.java
+++ b/src/main/java/pewtercourse/eventloop/SocketInput.java
@@ -5,9 +5,13 @@
 import io.netty.util.AttributeKey;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
+import java.util.function.BooleanSupplier;
 
 /** Access to what a socket has received. Used on the event loop of the socket. */
 public final class SocketInput {
+    // Bounds the time that one peer takes which sends without a pause.
+    private static final int MAX_READS = 64;
+
     private static final AttributeKey<Long> ACCEPT_QUEUE_EMPTY_AT = AttributeKey.valueOf("acceptQueueEmptyAt");
 
     private SocketInput() {}
@@ -31,18 +35,23 @@
     }
 
     /**
-     * Reads what has arrived and is not read yet, and handles it before this returns. Must not be called while the same
-     * socket is read.
+     * Reads what has arrived and is not read yet, until the socket is empty, and handles it before this returns. The end of
+     * the peer may stand behind any number of bytes. Must not be called while the same socket is read.
      *
+     * @param mayRead whether the next piece may be read; evaluated before each
      * @return whether the socket is still open
      */
-    public static boolean readArrived(NetSocket socket) {
+    public static boolean readArrived(NetSocket socket, BooleanSupplier mayRead) {
         Channel channel = channelOf(socket);
         if (channel == null) {
             return true;
         }
-        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            unsafe.read();
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            boolean foundBytes = true;
+            for (int i = 0; i < MAX_READS && foundBytes && channel.isActive() && mayRead.getAsBoolean(); i++) {
+                unsafe.read();
+                foundBytes = unsafe.recvBufAllocHandle().lastBytesRead() > 0;
+            }
         }
         return channel.isActive();
     }
--- a/src/main/java/pewtercourse/eventloop/TrackedReads.java
+++ b/src/main/java/pewtercourse/eventloop/TrackedReads.java
@@ -11,11 +11,17 @@
  * left, or a limit of reads is reached: a short read alone does not show that it is empty.
  */
 final class TrackedReads implements RecvByteBufAllocator {
+    private static final int MAX_READS_PER_POLL = 16;
+
     private final ArrivalTracker arrivals;
-    private final RecvByteBufAllocator sizes = new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false);
+    private final RecvByteBufAllocator sizes;
 
     TrackedReads(ArrivalTracker arrivals) {
         this.arrivals = arrivals;
+        AdaptiveRecvByteBufAllocator adaptive = new AdaptiveRecvByteBufAllocator();
+        adaptive.respectMaybeMoreData(false);
+        adaptive.maxMessagesPerRead(MAX_READS_PER_POLL);
+        this.sizes = adaptive;
     }
 
     @Override
--- a/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
+++ b/src/main/java/pewtercourse/front/fastcgi/FastCgiConnection.java
@@ -365,7 +365,7 @@
 
     // The library reports the end of a connection later only, as a task of the event loop.
     private void readArrived() {
-        if (!closed && !reading && !SocketInput.readArrived(socket)) {
+        if (!closed && !reading && !SocketInput.readArrived(socket, () -> !closed)) {
             onClosed();
         }
     }
--- a/src/test/java/pewtercourse/eventloop/SocketInputTest.java
+++ b/src/test/java/pewtercourse/eventloop/SocketInputTest.java
@@ -97,7 +97,7 @@
             write("abort");
             TimeUnit.MILLISECONDS.sleep(BLOCKED_MS);
             assertEquals(List.of(), received);
-            return SocketInput.readArrived(socket);
+            return SocketInput.readArrived(socket, () -> true);
         }));
         assertEquals("abort", received.get(0).toString());
     }
@@ -108,7 +108,7 @@
         assertFalse(onLoop(socket, () -> {
             client.close();
             TimeUnit.MILLISECONDS.sleep(BLOCKED_MS);
-            return SocketInput.readArrived(socket);
+            return SocketInput.readArrived(socket, () -> true);
         }));
     }
 
@@ -128,7 +128,7 @@
     @Test
     void readsOnAfterAReadThatFoundNothing() throws Exception {
         NetSocket socket = connect();
-        assertTrue(onLoop(socket, () -> SocketInput.readArrived(socket)));
+        assertTrue(onLoop(socket, () -> SocketInput.readArrived(socket, () -> true)));
         write("later");
         while (onLoop(socket, received::isEmpty)) {
             TimeUnit.MILLISECONDS.sleep(5);
