Test that a request is not rejected as incomplete over its unread rest

UnreadRequestTest.aRequestWhoseRestHasArrivedUnreadIsNotRejectedAsIncomplete: the rest of a request arrives while the event loop is busy, and its timer is due before the next poll. Without the read in onRequestTimeout the answer is 502.

--- a/src/test/java/pewtercourse/front/fastcgi/UnreadRequestTest.java
+++ b/src/test/java/pewtercourse/front/fastcgi/UnreadRequestTest.java
@@ -1,6 +1,7 @@
 package pewtercourse.front.fastcgi;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -28,6 +29,7 @@
 class UnreadRequestTest {
     private static final long BUSY_MS = 200;
     private static final int MAX_CONNECTIONS = 2;
+    private static final int BEGIN_BODY_BYTES = 8;
 
     private final FrontTransport transport = new FrontTransport(new LimitedListener(20));
     private final Vertx vertx = Vertx.builder().withTransport(transport).build();
@@ -115,6 +117,26 @@
         }
     }
 
+    @Test
+    void aRequestWhoseRestHasArrivedUnreadIsNotRejectedAsIncomplete() throws Exception {
+        byte[] request = RawFrontClient.request(1, "page", String.format("%016x", 2), 20_000);
+        int beginBytes = Record.HEADER_BYTES + BEGIN_BODY_BYTES;
+        try (RawFrontClient client = connectAndServe(1);
+                RawFrontClient other = connectAndServe(3)) {
+            client.write(request, 0, beginBytes);
+            TimeUnit.MILLISECONDS.sleep(FastCgiConnection.REQUEST_TIMEOUT_MS - BUSY_MS / 2);
+            whileHandling = () -> {
+                client.write(request, beginBytes, request.length);
+                TimeUnit.MILLISECONDS.sleep(BUSY_MS);
+                return null;
+            };
+            request(other, 4);
+            String answer = client.readAnswer();
+            assertTrue(answer != null && answer.startsWith("Status: 200"), answer);
+            assertNotNull(other.readAnswer());
+        }
+    }
+
     @Test
     void anIdleConnectionWithAnUnreadRequestIsNotClosedForANewOne() throws Exception {
         try (RawFrontClient first = connectAndServe(1);
