Remove a read before a failure that the router orders only where no attempt runs

RequestDispatcher.giveUp returns while an attempt is in flight, so the read never found one: no test could fail without it. Two comments are one sentence a line. The tests of the director's package pass.

--- a/src/main/java/pewtercourse/director/ProxiedRequest.java
+++ b/src/main/java/pewtercourse/director/ProxiedRequest.java
@@ -125,8 +125,7 @@
                 send.fillSourceId() == send.endpointId() ? null : director.registry.get(send.fillSourceId());
         long attemptDeadline = send.timeout() > 0 ? Math.min(deadline, now + send.timeout()) : deadline;
         boolean unlisted = cache == null || source == null && send.fillSourceId() != send.endpointId();
-        // Never two attempts at a time unless the settings allow it, never an endpoint that is not listed, never after
-        // the
+        // Never two attempts at a time unless the settings allow it, never an endpoint that is not listed, never after the
         // deadline.
         if (closed
                 || !mayRunAnother()
@@ -163,9 +162,8 @@
         return queue.isRemoteZone() ? Math.min(1, send.retentionRank()) : send.retentionRank();
     }
 
-    // The client may have disconnected, another attempt may have been answered, and the control feed may have changed
-    // an
-    // endpoint or purged the object, while the connection was established or the event loop was behind.
+    // While the connection was established or the event loop was behind, the client may have disconnected, another attempt
+    // may have been answered, and the control feed may have changed an endpoint or purged the object.
     private boolean maySend(RunningAttempt waiting) {
         SendAttempt send = waiting.send;
         client.readArrived();
@@ -273,9 +271,8 @@
         removeIfFinished();
     }
 
-    /** Answers the client that the request failed, unless a response has arrived. */
+    /** Answers the client that the request failed, as the router orders it where no attempt runs. */
     void fail() {
-        readArrivedResponses();
         answerClient(Answer.failed());
         removeIfFinished();
     }
