Join the delegation of the two I/O handlers, and keep both in the event loop's package

DelegatingIoHandler passes all calls on; WholeMillisecondWaits and TurnRecordingIoHandler change run, initialize and the context alone. Behaviour is as it was. Tests of eventloop and front, and the check of packages, pass.

--- a/src/main/java/pewtercourse/director/ProxiedRequest.java
+++ b/src/main/java/pewtercourse/director/ProxiedRequest.java
@@ -125,7 +125,8 @@
                 send.fillSourceId() == send.endpointId() ? null : director.registry.get(send.fillSourceId());
         long attemptDeadline = send.timeout() > 0 ? Math.min(deadline, now + send.timeout()) : deadline;
         boolean unlisted = cache == null || source == null && send.fillSourceId() != send.endpointId();
-        // Never two attempts at a time unless the settings allow it, never an endpoint that is not listed, never after the
+        // Never two attempts at a time unless the settings allow it, never an endpoint that is not listed, never after
+        // the
         // deadline.
         if (closed
                 || !mayRunAnother()
@@ -162,7 +163,8 @@
         return queue.isRemoteZone() ? Math.min(1, send.retentionRank()) : send.retentionRank();
     }
 
-    // While the connection was established or the event loop was behind, the client may have disconnected, another attempt
+    // While the connection was established or the event loop was behind, the client may have disconnected, another
+    // attempt
     // may have been answered, and the control feed may have changed an endpoint or purged the object.
     private boolean maySend(RunningAttempt waiting) {
         SendAttempt send = waiting.send;
--- a/src/main/java/pewtercourse/front/WholeMillisecondWaits.java
+++ b/src/main/java/pewtercourse/eventloop/DelegatingIoHandler.java
@@ -1,81 +1,44 @@
-package pewtercourse.front;
+package pewtercourse.eventloop;
 
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
+import io.netty.util.concurrent.ThreadAwareExecutor;
+import java.util.function.UnaryOperator;
 
-/**
- * Makes the event loop wait in whole milliseconds, rounded up. The selector of Netty takes milliseconds and rounds to the
- * nearest: when the next timer is due in less than half a millisecond, it does not wait at all, and the event loop polls the
- * selector until the timer is due. With rounding up, a timer may fire up to a millisecond late instead.
- */
-final class WholeMillisecondWaits implements IoHandler {
-    private static final long NANOS_PER_MILLI = 1_000_000;
-
+/** Passes all calls to another handler of an event loop; a subclass changes some of them. */
+abstract class DelegatingIoHandler implements IoHandler {
     private final IoHandler delegate;
 
-    private WholeMillisecondWaits(IoHandler delegate) {
+    DelegatingIoHandler(IoHandler delegate) {
         this.delegate = delegate;
     }
 
-    /** Wraps the handlers of the given factory. */
-    static IoHandlerFactory factory(IoHandlerFactory delegate) {
+    /** A factory whose handlers are those of another factory, wrapped. */
+    static IoHandlerFactory wrappingFactory(IoHandlerFactory factory, UnaryOperator<IoHandler> wrapper) {
         return new IoHandlerFactory() {
             @Override
-            public IoHandler newHandler(io.netty.util.concurrent.ThreadAwareExecutor executor) {
-                return new WholeMillisecondWaits(delegate.newHandler(executor));
+            public IoHandler newHandler(ThreadAwareExecutor executor) {
+                return wrapper.apply(factory.newHandler(executor));
             }
 
             @Override
             public boolean isChangingThreadSupported() {
-                return delegate.isChangingThreadSupported();
+                return factory.isChangingThreadSupported();
             }
         };
     }
 
-    /** Rounds a delay up to a whole millisecond; the delays of timers that are due or never fire stay as they are. */
-    static long roundedUp(long delayNanos) {
-        boolean dueOrNever = delayNanos <= 0 || delayNanos > Long.MAX_VALUE - NANOS_PER_MILLI;
-        return dueOrNever ? delayNanos : (delayNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI * NANOS_PER_MILLI;
-    }
-
-    private record RoundedContext(IoHandlerContext delegate) implements IoHandlerContext {
-        @Override
-        public boolean canBlock() {
-            return delegate.canBlock();
-        }
-
-        @Override
-        public long delayNanos(long currentTimeNanos) {
-            return roundedUp(delegate.delayNanos(currentTimeNanos));
-        }
-
-        @Override
-        public long deadlineNanos() {
-            return delegate.deadlineNanos();
-        }
-
-        @Override
-        public void reportActiveIoTime(long activeNanos) {
-            delegate.reportActiveIoTime(activeNanos);
-        }
-
-        @Override
-        public boolean shouldReportActiveIoTime() {
-            return delegate.shouldReportActiveIoTime();
-        }
-    }
-
     @Override
-    public int run(IoHandlerContext context) {
-        return delegate.run(new RoundedContext(context));
+    public void initialize() {
+        delegate.initialize();
     }
 
     @Override
-    public void initialize() {
-        delegate.initialize();
+    public int run(IoHandlerContext context) {
+        return delegate.run(context);
     }
 
     @Override
@@ -102,4 +65,38 @@
     public boolean isCompatible(Class<? extends IoHandle> handleType) {
         return delegate.isCompatible(handleType);
     }
+
+    /** Passes all calls to another context; a subclass changes some of them. */
+    abstract static class Context implements IoHandlerContext {
+        private final IoHandlerContext delegate;
+
+        Context(IoHandlerContext delegate) {
+            this.delegate = delegate;
+        }
+
+        @Override
+        public boolean canBlock() {
+            return delegate.canBlock();
+        }
+
+        @Override
+        public long delayNanos(long currentTimeNanos) {
+            return delegate.delayNanos(currentTimeNanos);
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return delegate.deadlineNanos();
+        }
+
+        @Override
+        public void reportActiveIoTime(long activeNanos) {
+            delegate.reportActiveIoTime(activeNanos);
+        }
+
+        @Override
+        public boolean shouldReportActiveIoTime() {
+            return delegate.shouldReportActiveIoTime();
+        }
+    }
 }
--- a/src/main/java/pewtercourse/front/FrontTransport.java
+++ b/src/main/java/pewtercourse/front/FrontTransport.java
@@ -6,6 +6,7 @@
 import io.vertx.core.impl.transports.NioTransport;
 import io.vertx.core.transport.Transport;
 import pewtercourse.eventloop.TurnRecordingIoHandler;
+import pewtercourse.eventloop.WholeMillisecondWaits;
 
 /**
  * The NIO transport of Vert.x with four changes: the event loop waits in whole milliseconds
--- a/src/test/java/pewtercourse/front/WholeMillisecondWaitsTest.java
+++ b/src/test/java/pewtercourse/eventloop/WholeMillisecondWaitsTest.java
@@ -1,4 +1,4 @@
-package pewtercourse.front;
+package pewtercourse.eventloop;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
