Read all sockets again before an attempt if they were last read over 0.25 s ago

Just before an attempt the sockets of its client and of the caches were read, but not the control feed and the operators' calls. A process that is stopped after a poll and goes on with the attempts of its batch could send up to 32 of them to a cache whose drain had arrived meanwhile, or without word of a purge.

It ends by its deadline. attempt.check_expired in the log tells of checks that expired before the write.

AttemptUnreadResponseTest: three tests; without the wait two fail, without the deadline one.

--- a/src/main/java/pewtercourse/Timers.java
+++ b/src/main/java/pewtercourse/Timers.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import java.util.concurrent.TimeUnit;
 import pewtercourse.eventloop.EventLoopTurns;
 
 /** Timers of an event loop; tests replace them. */
@@ -16,6 +17,11 @@
         action.run();
     }
 
+    /** Time since when the sockets may hold bytes that are not read, at most. */
+    default long maxUnreadMicros() {
+        return 0;
+    }
+
     /** Converts a delay to the milliseconds of {@link #set}: rounded up so that no timer fires early, at least 1. */
     static long millis(long micros) {
         return Math.max(1, (micros + 999) / 1000);
@@ -33,6 +39,15 @@
                 vertx.cancelTimer(timerId);
             }
 
+            @Override
+            public long maxUnreadMicros() {
+                EventLoopTurns turns = EventLoopTurns.current();
+                return turns == null
+                        ? 0
+                        : TimeUnit.NANOSECONDS.toMicros(
+                                System.nanoTime() - turns.completedPoll().startedNanos());
+            }
+
             @Override
             public void afterReads(Runnable action) {
                 EventLoopTurns turns = EventLoopTurns.current();
--- a/src/main/java/pewtercourse/cache/Attempt.java
+++ b/src/main/java/pewtercourse/cache/Attempt.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import pewtercourse.Log;
 import pewtercourse.Timers;
 
 /**
@@ -21,6 +22,8 @@
     // network
     // and for the cache, which reads the request later than it was written.
     private static final long MAX_CHECK_AGE_MICROS = 50_000;
+    // Half of the time in which the control feed's drains must be followed.
+    private static final long MAX_UNREAD_MICROS = 250_000;
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final ConnectionPool pool;
@@ -78,7 +81,7 @@
         generation = pool.generation(cacheId);
         connection = pool.acquireIdle(cacheId);
         if (connection != null) {
-            writeRequest();
+            writeAfterRecentReads();
             return;
         }
         var connecting = pool.connect(address, Timers.millis(connectTimeoutMicros) + LATE_CONNECT_GRACE_MS);
@@ -116,7 +119,17 @@
         } else {
             timers.cancel(timer);
             connection = result.result();
+            writeAfterRecentReads();
+        }
+    }
+
+    // After a stop of the process or a long turn, all sockets are read first: a drain or a purge may have arrived.
+    private void writeAfterRecentReads() {
+        boolean readRecently = timers.maxUnreadMicros() <= MAX_UNREAD_MICROS;
+        if (readRecently || clock.getAsLong() >= deadline) {
             writeRequest();
+        } else {
+            timers.afterReads(this::writeAfterRecentReads);
         }
     }
 
@@ -155,7 +168,16 @@
         @Override
         public OptionalLong timeoutMs() {
             long now = clock.getAsLong();
-            if (finished || now >= deadline || now - checkedAt > MAX_CHECK_AGE_MICROS) {
+            if (finished || now >= deadline) {
+                return OptionalLong.empty();
+            }
+            if (now - checkedAt > MAX_CHECK_AGE_MICROS) {
+                Log.counted(
+                        "attempt.check_expired",
+                        "cache",
+                        Long.toHexString(cacheId),
+                        "age_ms",
+                        (now - checkedAt) / MICROS_PER_MILLI);
                 return OptionalLong.empty();
             }
             if (!requestWritten) {
--- a/src/test/java/pewtercourse/cache/AttemptUnreadResponseTest.java
+++ b/src/test/java/pewtercourse/cache/AttemptUnreadResponseTest.java
@@ -28,6 +28,7 @@
     private boolean open = true;
     private boolean maySend = true;
     private long now;
+    private long maxUnreadMicros;
     private AttemptResult result;
     private Attempt attempt;
 
@@ -77,6 +78,11 @@
         public void afterReads(Runnable action) {
             afterReads.add(action);
         }
+
+        @Override
+        public long maxUnreadMicros() {
+            return maxUnreadMicros;
+        }
     };
 
     private final ConnectionPool pool =
@@ -154,6 +160,40 @@
         assertFalse(open);
     }
 
+    // Guards against an attempt at a cache whose drain arrived while the process was stopped.
+    @Test
+    void allSocketsAreReadAfterAStopBeforeARequestIsWritten() {
+        maxUnreadMicros = 250_001;
+        startOnNewConnection();
+        assertNull(response, "written before the sockets were read");
+        maxUnreadMicros = 250_000;
+        maySend = false;
+        afterReads.remove(0).run();
+        assertNull(response, "written though what was read forbids it");
+        assertEquals(AttemptResult.OVERTAKEN, result);
+    }
+
+    @Test
+    void anAttemptThatIsCancelledUntilTheSocketsAreReadIsNotWritten() {
+        maxUnreadMicros = 250_001;
+        startOnNewConnection();
+        attempt.cancel();
+        maxUnreadMicros = 0;
+        afterReads.remove(0).run();
+        assertNull(response);
+        assertEquals(AttemptResult.CANCELLED_UNSENT, result);
+        assertEquals(1, pool.idleConnections());
+    }
+
+    @Test
+    void anAttemptThatWaitsForReadsEndsByItsDeadline() {
+        maxUnreadMicros = 250_001;
+        startOnNewConnection();
+        now = DEADLINE;
+        afterReads.remove(0).run();
+        assertEquals(AttemptResult.OVERTAKEN, result);
+    }
+
     @Test
     void aConnectionIsKeptIfTheRequestMayNotBeSent() {
         maySend = false;
