Look at the clock last before the system call that writes an attempt, and log delays

A director that shares its core is taken off it at any instruction, so the share of its time between the clock and the system call counts: encoding the limit was most of it.

The bytes are prepared first. Then the clock is read again, and if over 1 ms has passed the check is consulted and the limit encoded anew. What remains is the entry into the system call. That can't be closed from within the process; a write that took over 50 ms is logged as attempt.write_delayed with the request's id, so that an operator can tell this from any other attempt that is late.

RequestWriteTest.consultsTheCheckAgainIfThePreparationTookLong fails without it.

--- a/src/main/java/pewtercourse/cache/CacheRequest.java
+++ b/src/main/java/pewtercourse/cache/CacheRequest.java
@@ -57,7 +57,7 @@
     }
 
     /** An encoded request without its time limit, which is known only when it is written. */
-    record Encoded(byte[] beforeTimeout, byte[] afterTimeout) {}
+    record Encoded(String id, byte[] beforeTimeout, byte[] afterTimeout) {}
 
     /** Encodes the request as a GET, also with a body: caches answer 400 to any other method. */
     Encoded encode(String host) {
@@ -76,7 +76,7 @@
         appendField(head, "If-None-Match", knownTag);
         appendField(head, "Content-Length", body.length() > 0 ? String.valueOf(body.length()) : null);
         Buffer afterTimeout = Buffer.buffer(head.append("\r\n").toString()).appendBuffer(body);
-        return new Encoded(beforeTimeout.getBytes(), afterTimeout.getBytes());
+        return new Encoded(id, beforeTimeout.getBytes(), afterTimeout.getBytes());
     }
 
     private static void appendField(StringBuilder head, String name, String value) {
--- a/src/main/java/pewtercourse/cache/RequestWrite.java
+++ b/src/main/java/pewtercourse/cache/RequestWrite.java
@@ -9,6 +9,8 @@
 import java.nio.channels.WritableByteChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import pewtercourse.Log;
 
 /**
  * Writes an encoded request to the channel of a socket, and consults its {@link WriteCheck} between the library and the system
@@ -17,7 +19,11 @@
  */
 final class RequestWrite extends AbstractReferenceCounted implements FileRegion {
     private static final int MAX_DIGITS = 19;
+    // The process may have been stopped while the bytes were prepared for longer.
+    private static final long MAX_PREPARATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long DELAYED_WRITE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    private final String id;
     private final WriteCheck check;
     private final ByteBuf bytes;
     // The head before the time limit is moved to the digits of the limit, which are known last.
@@ -27,6 +33,7 @@
     private long transferred;
 
     RequestWrite(ByteBufAllocator allocator, CacheRequest.Encoded request, WriteCheck check) {
+        this.id = request.id();
         this.check = check;
         this.beforeTimeout = request.beforeTimeout();
         this.digitsEnd = beforeTimeout.length + MAX_DIGITS;
@@ -36,16 +43,34 @@
 
     @Override
     public long transferTo(WritableByteChannel target, long position) throws IOException {
+        long checkedNanos = prepare();
+        // Nothing but the system call follows the last look at the clock.
+        while (System.nanoTime() - checkedNanos > MAX_PREPARATION_NANOS) {
+            checkedNanos = prepare();
+        }
+        int written = target.write(unwritten);
+        transferred += written;
+        logDelay(System.nanoTime() - checkedNanos);
+        return written;
+    }
+
+    /** Consults the check and encodes the time limit, unless a part is written already; returns when it began. */
+    private long prepare() throws WriteExpiredException {
+        long beganNanos = System.nanoTime();
         OptionalLong timeoutMs = check.timeoutMs();
         if (timeoutMs.isEmpty()) {
             throw new WriteExpiredException();
         }
-        if (unwritten == null) {
+        if (transferred == 0) {
             unwritten = encode(timeoutMs.getAsLong());
         }
-        int written = target.write(unwritten);
-        transferred += written;
-        return written;
+        return beganNanos;
+    }
+
+    private void logDelay(long elapsedNanos) {
+        if (elapsedNanos > DELAYED_WRITE_NANOS) {
+            Log.counted("attempt.write_delayed", "id", id, "ms", TimeUnit.NANOSECONDS.toMillis(elapsedNanos));
+        }
     }
 
     private ByteBuffer encode(long timeoutMs) {
--- a/src/test/java/pewtercourse/cache/RequestWriteTest.java
+++ b/src/test/java/pewtercourse/cache/RequestWriteTest.java
@@ -12,10 +12,12 @@
 import java.nio.channels.WritableByteChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class RequestWriteTest {
     private static final int BODY_BYTES = 48_000;
+    private static final long LONG_PREPARATION_MS = 20;
     private static final CacheRequest REQUEST = new CacheRequest(
             "9b1f",
             "page",
@@ -104,6 +106,41 @@
         }
     }
 
+    // Guards against a time limit that was computed before a stop of the process.
+    @Test
+    void consultsTheCheckAgainIfThePreparationTookLong() throws Exception {
+        LimitedChannel channel = new LimitedChannel(Integer.MAX_VALUE);
+        WriteCheck slowOnce = new WriteCheck() {
+            private int calls;
+
+            @Override
+            public boolean mayWrite() {
+                return true;
+            }
+
+            @Override
+            public OptionalLong timeoutMs() {
+                if (calls++ == 0) {
+                    waitFor(LONG_PREPARATION_MS);
+                    return OptionalLong.of(600);
+                }
+                return OptionalLong.of(150);
+            }
+        };
+        RequestWrite write = new RequestWrite(ByteBufAllocator.DEFAULT, REQUEST.encode("h"), slowOnce);
+        write.transferTo(channel, 0);
+        write.release();
+        assertEquals(written(REQUEST.encode("h"), 150), channel.received.toString(StandardCharsets.UTF_8));
+    }
+
+    private static void waitFor(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     // Guards against a request whose last bytes reach the cache long after its client has left.
     @Test
     void theRestOfARequestWhoseCheckHasExpiredIsNotWritten() throws Exception {
