Share the set-up of the soak and of the backlog plays

EventLoopCalls and LoopbackPorts in the emulator's package, and the entry of a host in EmulatedFeed, stood twice or three times. Behaviour is as it was. Run: the tests of soak, experiment, packages and command line pass.

--- a/src/main/java/pewtercourse/backlog/BacklogRun.java
+++ b/src/main/java/pewtercourse/backlog/BacklogRun.java
@@ -1,23 +1,22 @@
 package pewtercourse.backlog;
 
-import io.vertx.core.Future;
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Callable;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import pewtercourse.emulator.EmulatedFeed;
 import pewtercourse.emulator.EmulatedSettings;
+import pewtercourse.emulator.EventLoopCalls;
+import pewtercourse.emulator.LoopbackPorts;
 import pewtercourse.front.fastcgi.FastCgiClient;
 
 /** Plays one plan: one director as a process, twelve caches and the clients, each of them on a thread of its own. */
@@ -39,6 +38,8 @@
     private final String classPath;
     private final Vertx clientVertx = Vertx.vertx();
     private final Vertx cacheVertx = Vertx.vertx();
+    private final Context clientLoop = clientVertx.getOrCreateContext();
+    private final Context cacheLoop = cacheVertx.getOrCreateContext();
     private final BacklogOracle oracle = new BacklogOracle();
     private DisturbedDirector director;
 
@@ -60,35 +61,19 @@
         return System.nanoTime() / NANOS_PER_MICRO;
     }
 
-    private static <T> T call(Vertx vertx, Callable<T> action) throws Exception {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        vertx.runOnContext(v -> {
-            try {
-                result.complete(action.call());
-            } catch (Exception e) {
-                result.completeExceptionally(e);
-            }
-        });
-        return result.get(READY_TIMEOUT_S, TimeUnit.SECONDS);
-    }
-
-    private static <T> T await(Future<T> future) throws Exception {
-        return future.toCompletionStage().toCompletableFuture().get(READY_TIMEOUT_S, TimeUnit.SECONDS);
-    }
-
     private BacklogResult play() throws Exception {
-        BacklogCaches caches =
-                call(cacheVertx, () -> new BacklogCaches(cacheVertx, oracle, BacklogRun::now, plan.cacheDelayMs()));
-        await(call(cacheVertx, () -> caches.listen(CACHES)));
-        int port = freePort();
+        BacklogCaches caches = EventLoopCalls.call(
+                cacheLoop, () -> new BacklogCaches(cacheVertx, oracle, BacklogRun::now, plan.cacheDelayMs()));
+        EventLoopCalls.await(EventLoopCalls.call(cacheLoop, () -> caches.listen(CACHES)));
+        int port = LoopbackPorts.unused();
         director = new DisturbedDirector(folder, config(port, caches.addresses()), classPath);
         SocketAddress address = SocketAddress.inetSocketAddress(port, HOST);
         awaitReady(address);
         director.disturb(plan.disturbance());
         double processorSecondsBefore = director.processorSeconds();
-        BacklogClients clients =
-                call(clientVertx, () -> new BacklogClients(clientVertx, address, plan, oracle, BacklogRun::now));
-        call(clientVertx, () -> {
+        BacklogClients clients = EventLoopCalls.call(
+                clientLoop, () -> new BacklogClients(clientVertx, address, plan, oracle, BacklogRun::now));
+        EventLoopCalls.call(clientLoop, () -> {
             clients.start();
             return null;
         });
@@ -96,7 +81,7 @@
                 + TimeUnit.SECONDS.toNanos(plan.load().seconds())
                 + TimeUnit.MILLISECONDS.toNanos(plan.load().deadlineMs())
                 + TimeUnit.SECONDS.toNanos(READY_TIMEOUT_S);
-        while (!call(clientVertx, clients::isFinished)) {
+        while (!EventLoopCalls.call(clientLoop, clients::isFinished)) {
             if (System.nanoTime() > endBy || !director.isAlive()) {
                 throw new IOException("the play did not end:\n" + director.log());
             }
@@ -132,20 +117,15 @@
         }
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static JsonObject config(int port, List<String> cacheAddresses) {
         List<JsonObject> hosts = new ArrayList<>();
         for (int i = 0; i < cacheAddresses.size(); i++) {
-            hosts.add(host(String.format("s-%08x", i + 1), cacheAddresses.get(i), ZONE, "box"));
+            hosts.add(
+                    EmulatedFeed.host(String.format("s-%08x", i + 1), cacheAddresses.get(i), ZONE, "box", "Ready", 0));
         }
-        hosts.add(host("s-00000901", HOST + ":9", HUB, "parent"));
-        hosts.add(host("s-00000a01", HOST + ":9", HUB, "origin"));
-        JsonObject list = new JsonObject().put("seq", 1).put("whole", true).put("hosts", new JsonArray(hosts));
+        hosts.add(EmulatedFeed.host("s-00000901", HOST + ":9", HUB, "parent", "Ready", 0));
+        hosts.add(EmulatedFeed.host("s-00000a01", HOST + ":9", HUB, "origin", "Ready", 0));
+        JsonObject list = EmulatedFeed.hosts(true, 1, hosts).put("n", 1);
         return new JsonObject()
                 .put("name", "n0")
                 .put("listen", HOST + ':' + port)
@@ -156,16 +136,7 @@
                                 .put("cores", 1.0)
                                 .put("memory_mb", MEMORY_MB)
                                 .put("sockets", DESCRIPTORS))
-                .put(
-                        "known",
-                        new JsonObject()
-                                .put("n", 1)
-                                .put(
-                                        "events",
-                                        new JsonArray()
-                                                .add(new JsonObject()
-                                                        .put("n", 1)
-                                                        .put("members", list))))
+                .put("known", new JsonObject().put("n", 1).put("events", new JsonArray().add(list)))
                 .put(
                         "settings",
                         new EmulatedSettings(WARM_UP_MS, COLLAPSE_WINDOW_MS)
@@ -177,24 +148,12 @@
                                         new JsonArray().add(0).add(1)));
     }
 
-    private static JsonObject host(String name, String address, String zone, String kind) {
-        return new JsonObject()
-                .put("host", name)
-                .put("dial", address)
-                .put("site", zone)
-                .put("class", kind)
-                .put("block", 0)
-                .put("health", "Ready")
-                .put("share", 1)
-                .put("born_ms", 0);
-    }
-
     @Override
     public void close() throws Exception {
         if (director != null) {
             director.close();
         }
-        await(clientVertx.close());
-        await(cacheVertx.close());
+        EventLoopCalls.await(clientVertx.close());
+        EventLoopCalls.await(cacheVertx.close());
     }
 }
--- a/src/main/java/pewtercourse/emulator/EmulatedFeed.java
+++ b/src/main/java/pewtercourse/emulator/EmulatedFeed.java
@@ -75,6 +75,20 @@
         return new JsonObject().put("n", events.size()).put("events", published);
     }
 
+    /** Creates the entry of a host in the list; {@code startedMs} is its Unix time of a late start, or 0. */
+    public static JsonObject host(
+            String name, String address, String zone, String kind, String health, long startedMs) {
+        return new JsonObject()
+                .put("host", name)
+                .put("dial", address)
+                .put("site", zone)
+                .put("class", kind)
+                .put("block", 0)
+                .put("health", health)
+                .put("share", 1)
+                .put("born_ms", startedMs);
+    }
+
     /** Creates an event that lists hosts: all of them if {@code complete}, else only the changed ones. */
     public static JsonObject hosts(boolean complete, long sequence, List<JsonObject> hosts) {
         JsonArray list = new JsonArray();
--- a/src/main/java/pewtercourse/experiment/LogExperiment.java
+++ b/src/main/java/pewtercourse/experiment/LogExperiment.java
@@ -5,8 +5,6 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -18,6 +16,7 @@
 import pewtercourse.cluster.ClusterHost;
 import pewtercourse.cluster.ClusterMember;
 import pewtercourse.config.ClusterConfig;
+import pewtercourse.emulator.LoopbackPorts;
 import pewtercourse.lease.Command;
 import pewtercourse.lease.CommandCodec;
 import pewtercourse.raft.Entry;
@@ -63,9 +62,7 @@
         List<Integer> ports = new ArrayList<>();
         JsonArray members = new JsonArray();
         for (int i = 0; i < 3; i++) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-                ports.add(socket.getLocalPort());
-            }
+            ports.add(LoopbackPorts.unused());
             members.add(new JsonObject().put("name", "d" + i).put("address", HOST + ":" + ports.get(i)));
         }
         List<ClusterMember> clusterMembers = new ArrayList<>();
--- a/src/main/java/pewtercourse/experiment/StartExperiment.java
+++ b/src/main/java/pewtercourse/experiment/StartExperiment.java
@@ -3,8 +3,6 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -17,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.math3.stat.descriptive.rank.Percentile;
 import pewtercourse.config.ClusterConfig;
+import pewtercourse.emulator.LoopbackPorts;
 import pewtercourse.raft.Membership;
 import pewtercourse.raft.store.LogStore;
 
@@ -60,7 +59,8 @@
             }
             List<Process> otherMembers = new ArrayList<>();
             for (Path file : memberFiles.subList(0, 2)) {
-                otherMembers.add(experiment.serve(lastJar, config, file, freePort(), freePort()));
+                otherMembers.add(
+                        experiment.serve(lastJar, config, file, LoopbackPorts.unused(), LoopbackPorts.unused()));
             }
             TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
             samples.computeIfAbsent(lastName + CLUSTER_SUFFIX, k -> new ArrayList<>())
@@ -97,7 +97,7 @@
         JsonArray membersJson = new JsonArray();
         List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            ports.add(freePort());
+            ports.add(LoopbackPorts.unused());
             membersJson.add(new JsonObject().put("name", "d" + i).put("address", HOST + ":" + ports.get(i)));
         }
         List<Path> files = new ArrayList<>();
@@ -128,9 +128,9 @@
     }
 
     private Sample sample(Path jar, Path config, Path cluster) throws Exception {
-        int adminPort = freePort();
+        int adminPort = LoopbackPorts.unused();
         long startedNanos = System.nanoTime();
-        Process process = serve(jar, config, cluster, freePort(), adminPort);
+        Process process = serve(jar, config, cluster, LoopbackPorts.unused(), adminPort);
         try {
             while (!isReady(adminPort)) {
                 if (!process.isAlive()
@@ -191,10 +191,4 @@
                 .findFirst()
                 .orElse(Double.NaN);
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return s.getLocalPort();
-        }
-    }
 }
--- a/src/main/java/pewtercourse/soak/SoakRun.java
+++ b/src/main/java/pewtercourse/soak/SoakRun.java
@@ -18,7 +18,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import pewtercourse.WallClock;
 import pewtercourse.emulator.CacheModel;
@@ -27,6 +26,7 @@
 import pewtercourse.emulator.EmulatedFeed;
 import pewtercourse.emulator.EmulatedSettings;
 import pewtercourse.emulator.EmulationResults;
+import pewtercourse.emulator.EventLoopCalls;
 import pewtercourse.emulator.FaultProxy;
 import pewtercourse.emulator.SystemFaults;
 import pewtercourse.emulator.UpstreamModel;
@@ -114,19 +114,7 @@
     }
 
     private <T> T onLoop(Callable<T> action) throws Exception {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        loop.runOnContext(v -> {
-            try {
-                result.complete(action.call());
-            } catch (Exception e) {
-                result.completeExceptionally(e);
-            }
-        });
-        return result.get(START_TIMEOUT_S, TimeUnit.SECONDS);
-    }
-
-    private static <T> T await(Future<T> future) throws Exception {
-        return future.toCompletionStage().toCompletableFuture().get(START_TIMEOUT_S, TimeUnit.SECONDS);
+        return EventLoopCalls.call(loop, action);
     }
 
     /** Plays the plan and returns what came of it. */
@@ -135,7 +123,7 @@
         Files.writeString(folder.resolve("plan.json"), plan.toJson().encodePrettily());
         Optional<Path> library = SystemFaults.compile(folder);
         for (Future<Void> listening : onLoop(this::createServers)) {
-            await(listening);
+            EventLoopCalls.await(listening);
         }
         onLoop(() -> {
             for (int director = 0; director < plan.directors(); director++) {
@@ -269,7 +257,7 @@
 
     private JsonObject host(int director, int cache, String health) {
         EmulatedCache emulated = caches.get(cache);
-        return entry(
+        return EmulatedFeed.host(
                 emulated.name(),
                 cacheLinks.get(director).get(cache).address(),
                 ZONE,
@@ -278,27 +266,14 @@
                 cacheStartedMs.getOrDefault(emulated.name(), 0L));
     }
 
-    private static JsonObject entry(
-            String name, String address, String zone, String kind, String health, long startedMs) {
-        return new JsonObject()
-                .put("host", name)
-                .put("dial", address)
-                .put("site", zone)
-                .put("class", kind)
-                .put("block", 0)
-                .put("health", health)
-                .put("share", 1)
-                .put("born_ms", startedMs);
-    }
-
     private List<JsonObject> allHosts(int director) {
         List<JsonObject> hosts = new ArrayList<>();
         for (int cache = 0; cache < plan.caches(); cache++) {
             hosts.add(host(director, cache, "Ready"));
         }
-        hosts.add(entry("s-00000901", HOST + ":9", HUB, "parent", "Ready", 0));
-        hosts.add(entry("s-00000902", HOST + ":9", HUB, "parent", "Ready", 0));
-        hosts.add(entry("s-00000a01", HOST + ":9", HUB, "origin", "Ready", 0));
+        hosts.add(EmulatedFeed.host("s-00000901", HOST + ":9", HUB, "parent", "Ready", 0));
+        hosts.add(EmulatedFeed.host("s-00000902", HOST + ":9", HUB, "parent", "Ready", 0));
+        hosts.add(EmulatedFeed.host("s-00000a01", HOST + ":9", HUB, "origin", "Ready", 0));
         return hosts;
     }
 
