Let a stop of a director excuse no attempt at a draining cache in the soak

The oracle allowed a stopped director the grace of a drain once more after it ran again. Since an attempt waits for a poll after a stop, it needs none: the drain arrives during the stop and is read before the attempt. A stricter check.

--- a/src/main/java/pewtercourse/soak/SoakOracle.java
+++ b/src/main/java/pewtercourse/soak/SoakOracle.java
@@ -199,8 +199,7 @@
                     "attempt of " + id + " with " + timeoutMicros / 1_000 + " ms, its client has " + left / 1_000);
         }
         Long unlisted = unlistedSince.get(key(director, cache));
-        long pause = pausedUntil.getOrDefault(director, 0L);
-        if (unlisted != null && at > Math.max(unlisted, pause) + DRAIN_GRACE + slack) {
+        if (unlisted != null && at > unlisted + DRAIN_GRACE + slack) {
             violated(
                     Term.DRAIN,
                     at,
--- a/src/test/java/pewtercourse/soak/SoakOracleTest.java
+++ b/src/test/java/pewtercourse/soak/SoakOracleTest.java
@@ -97,6 +97,15 @@
         assertViolated(SoakOracle.Term.DRAIN);
     }
 
+    @Test
+    void aStopExcusesNoAttemptAtADrainingCache() {
+        request();
+        oracle.unlistedNotified(0, "s", 0);
+        oracle.paused(0, 2 * SoakOracle.DRAIN_GRACE);
+        attempt(SoakOracle.DRAIN_GRACE + 1, 0, 0);
+        assertViolated(SoakOracle.Term.DRAIN);
+    }
+
     @Test
     void anEventThatIsHeldBackOnItsWayCountsWhenItIsToldAtTheLatest() {
         request();
