--- a/src/test/java/pewtercourse/eventloop/SocketInputTest.java
+++ b/src/test/java/pewtercourse/eventloop/SocketInputTest.java
@@ -125,6 +125,25 @@
         assertEquals(1, found.get(30, TimeUnit.SECONDS));
     }
 
+    // Guards against an attempt after a stop of the process that does not wait for a poll.
+    @Test
+    void tellsSinceWhenNothingWasReadWhileATaskRuns() throws Exception {
+        NetSocket socket = connect();
+        long unreadMicros = onLoop(socket, () -> {
+            TimeUnit.MILLISECONDS.sleep(BLOCKED_MS);
+            return Timers.of(vertx).maxUnreadMicros();
+        });
+        assertTrue(unreadMicros >= TimeUnit.MILLISECONDS.toMicros(BLOCKED_MS), unreadMicros + " us");
+        CompletableFuture<Long> afterReads = new CompletableFuture<>();
+        onLoop(socket, () -> {
+            TimeUnit.MILLISECONDS.sleep(BLOCKED_MS);
+            Timers timers = Timers.of(vertx);
+            timers.afterReads(() -> afterReads.complete(timers.maxUnreadMicros()));
+            return null;
+        });
+        assertTrue(afterReads.get(30, TimeUnit.SECONDS) < TimeUnit.MILLISECONDS.toMicros(BLOCKED_MS));
+    }
+
     @Test
     void readsOnAfterAReadThatFoundNothing() throws Exception {
         NetSocket socket = connect();
