Review case 6: wait for the director's end before the verdict

The case now makes a new connection, runs to the director's end or for 60 s, and waits for an end that the log announces.

--- a/review/6/TurnedAway.java
+++ b/review/6/TurnedAway.java
@@ -10,7 +10,7 @@
     private static final int BAD_CONNECTIONS = 16; // Of 341 that clients may hold: a third of 1,024 descriptors.
     private static final int AT_ONCE = 32; // "Up to 32 requests may be open on one connection"
     private static final int BODY_BYTES = 48_000; // "one write carries up to 48,000"
-    private static final int SECONDS = 40;
+    private static final int SECONDS = 60;
 
     private static final AtomicLong ids = new AtomicLong(0x5a00000000000000L);
     private static final AtomicInteger sentByBad = new AtomicInteger();
@@ -69,19 +69,23 @@
         FcgiClient usual = new FcgiClient(port);
         List<FcgiClient.Answer> answers = new ArrayList<>();
         long until = System.currentTimeMillis() + SECONDS * 1_000L;
-        while (System.currentTimeMillis() < until && director.isAlive() && !usual.ended) {
+        for (int id = 1; System.currentTimeMillis() < until && director.isAlive(); id = id % 30 + 1) {
             try {
-                answers.add(usual.send(answers.size() % 30 + 1, params("menu-page", 3_000, "20"), new byte[0]));
+                if (usual.ended) {
+                    usual.close();
+                    usual = new FcgiClient(port);
+                }
+                answers.add(usual.send(id, params("menu-page", 3_000, "20"), new byte[0]));
             } catch (java.io.IOException e) {
-                break;
+                // The connection has ended: a new one is made.
             }
             Thread.sleep(100);
         }
-        Thread.sleep(500);
-        boolean crashed = !director.isAlive();
+        // Whoever ends for lack of memory writes that first, and may take a moment more.
+        boolean crashed = director.waitFor(lab.log("n0").contains("Terminating due to") ? 15 : 1, java.util.concurrent.TimeUnit.SECONDS);
         int served = 0, refused = 0, none = 0;
         for (FcgiClient.Answer answer : answers) {
-            answer.await(crashed ? 100 : 3_000);
+            answer.await(crashed ? 0 : 1_000);
             if (answer.status() == 200) served++;
             else if (answer.complete) refused++;
             else none++;
