--- a/review/10/BorrowedBudget.java
+++ b/review/10/BorrowedBudget.java
@@ -11,11 +11,11 @@
 
 /** Directors of several canteens form a cluster that shares cold budgets; in one canteen caches are replaced by cold ones. */
 final class BorrowedBudget {
-    private static final int DIRECTORS = 3;
+    private static final int DIRECTORS = 5;
     private static final double RESERVE = 0.5; // As in deploy/cluster.json.
     private static final int CACHES = 4;
     private static final double TRANSFERS = 5; // That a warm cache runs at once at full pace.
-    private static final double MEAN_MS = 150; // Mean sending time: 510 KB at 3,400 KB a second.
+    private static final double MEAN_MS = 150; // Sending time of each: 510 KB at 3,400 KB a second.
     private static final double REQUESTS_PER_S = 125; // 0.94 of what four warm caches can do.
     private static final double COLD_FROM = 0.23;
     private static final double WARM_UP_MS = 16_000;
@@ -86,8 +86,7 @@
                     born = now;
                     copies.put(object, now);
                 }
-                double own = 0.5 + (Long.parseUnsignedLong(object, 16) & 0xff) / 255.0;
-                Thread.sleep((long) (MEAN_MS * own * Math.max(1, inFlight.get() / capacity)));
+                Thread.sleep((long) (MEAN_MS * Math.max(1, inFlight.get() / capacity)));
                 return new Cache.Reply(200, Map.of("ETag", object, "X-Born-Ms", String.valueOf(born == null ? now - 60_000 : born),
                         "Outcome", hit ? "mem" : "parent", "Load-Report", "inflight:" + inFlight.get() + ";x0:0.9"), new byte[1_000]);
             } finally {
@@ -234,8 +233,7 @@
                 params.put("HTTP_X_SUBJECT", String.format("%016x", 0x7f3a9c2100000000L + object * 0x9e3779b9L % 0xffffffffL));
                 params.put("HTTP_X_CHUNK", "0");
                 params.put("HTTP_X_TAG", "5");
-                params.put("HTTP_X_NEED_KB", String.format(Locale.ROOT, "%.1f",
-                        510 * (0.5 + (Long.parseUnsignedLong(params.get("HTTP_X_SUBJECT"), 16) & 0xff) / 255.0)));
+                params.put("HTTP_X_NEED_KB", "510"); // All of one size, so that a request is one of mean work.
                 FcgiClient.Answer answer = pool.get(c).send(ids.get(c), params, new byte[0]);
                 open.add(new Object[] {answer, System.currentTimeMillis()});
                 while (!open.isEmpty()) {
--- a/review/stands-2/Lab.java
+++ b/review/stands-2/Lab.java
@@ -19,6 +19,16 @@
 final class Lab implements AutoCloseable {
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
+    static {
+        // A fault of the case itself, also before there is a record, is no verdict.
+        Thread.setDefaultUncaughtExceptionHandler((thread, e) -> {
+            e.printStackTrace();
+            if (thread.getName().equals("main")) {
+                Runtime.getRuntime().halt(2);
+            }
+        });
+    }
+
     private static final long MAX_RUN_MS = 110_000;
 
     private final PrintStream record;
--- a/review/stands-2/SlowReader.java
+++ b/review/stands-2/SlowReader.java
@@ -55,10 +55,13 @@
             lab.note("SIGTERM to the director");
             director.destroy();
         }
-        long until = System.currentTimeMillis() + 75_000;
+        long until = System.currentTimeMillis() + 90_000;
         while (System.currentTimeMillis() < until && !client.ended && answers.stream().anyMatch(a -> !a.complete)) {
             Thread.sleep(50);
         }
+        if (!client.ended && answers.stream().anyMatch(a -> !a.complete)) {
+            lab.unable("the connection is still open and read after 90 s: the machine is too slow for this case");
+        }
         int served = 0, refused = 0, failed = 0, begun = 0, lost = 0;
         for (int i = 0; i < REQUESTS; i++) {
             FcgiClient.Answer answer = answers.get(i);
